--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import java.util.zip.CRC32;
 import tamarindroute.decision.Answer;
 import tamarindroute.decision.Cache;
@@ -67,12 +66,34 @@
         }
     }
 
+    /** How much is out, now and on average over the last seconds; brought up to date when read. */
+    private static final class Level {
+        private double out;
+        private double mean;
+        private double at;
+
+        double read(double now) {
+            mean = out + (mean - out) * Math.exp((at - now) / 3);
+            at = now;
+            return mean;
+        }
+
+        void add(double change, double now) {
+            read(now);
+            out += change;
+        }
+
+        /** What all gateways have out: this one's as it is, the others' as this one's was on average. */
+        double ofAll(int sharers, double now) {
+            return out + (sharers - 1) * read(now);
+        }
+    }
+
     /** What this gateway knows of one cache from its own trips. */
     private final class Node {
         final Cache cache;
         Duration upSince;
-        int inHand;
-        int filling;
+        final Level inHand = new Level();
         double doubt;
         double judgedAt;
         boolean barred;
@@ -151,13 +172,13 @@
         }
 
         /** The part of its link that one more transfer would find taken, if all gateways send alike. */
-        double busy() {
-            return cache.tier == Tier.ORIGIN ? 0 : (inHand + 0.5 * filling + 1) * sharers() / cache.weight;
+        double busy(double now) {
+            return cache.tier == Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
         }
 
         /** How many times longer than alone a transfer takes there. */
-        double crowding() {
-            return Math.max(1, busy());
+        double crowding(double now) {
+            return Math.max(1, busy(now));
         }
 
         boolean usable(double work, double now) {
@@ -475,7 +496,7 @@
         Outcome outcome = trip.outcome;
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
-        count(trip, -1);
+        count(trip, -1, now);
         ended.add(1, now);
         switch (outcome.result()) {
             case HONOURED -> {
@@ -534,13 +555,13 @@
         item.heldAt = atHome ? now : item.heldAt;
     }
 
-    private void count(Trip trip, int change) {
-        Node node = nodes.get(trip.cache);
-        if (node.cache.tier == Tier.EDGE && (trip.source == trip.cache || trip.onlyHeld)) {
-            node.inHand += change;
-        } else {
-            node.filling += change;
-        }
+    private final Level fills = new Level();
+
+    /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
+    private void count(Trip trip, int change, double now) {
+        boolean look = trip.cache.tier == Tier.EDGE && (trip.source == trip.cache || trip.onlyHeld);
+        nodes.get(trip.cache).inHand.add(look ? change : 0.5 * change, now);
+        fills.add(look ? 0 : change, now);
     }
 
     // ---- where to -----------------------------------------------------------------------------------------
@@ -553,7 +574,7 @@
         if (trip == null) {
             return giveUp(view);
         }
-        count(trip, 1);
+        count(trip, 1, now);
         nodes.get(trip.cache).allowance -= charge(view);
         nodes.get(trip.source).allowance -= trip.source == trip.cache ? 0 : charge(view);
         return trip;
@@ -616,7 +637,7 @@
         // After a purge every copy is gone at once: the hashed cache fetches it first, only then the others.
         if (node != null && !node.barred && hot && item.heldAt > purgedAt(view)) {
             for (Node edge : order) {
-                node = edge.busy() < node.busy() && edge.usable(charge, now) && !failedAt(view, edge)
+                node = edge.busy(now) < node.busy(now) && edge.usable(charge, now) && !failedAt(view, edge)
                         ? edge : node;
             }
         }
@@ -626,7 +647,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(), 0.8, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), 0.8, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
@@ -637,7 +658,7 @@
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        boolean late = shut != null || !inTime(view, farNow, node.crowding(), 1, now);
+        boolean late = shut != null || !inTime(view, farNow, node.crowding(now), 1, now);
         Node source = source(view, node, hot ? home : null, late, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
@@ -647,31 +668,27 @@
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
-        double crowding = Math.max(node.crowding(), linkCrowding());
-        boolean full = late ? fillsFull(0.4)
-                : !inTime(view, Math.min(far, farNow), crowding, 0.9, now) && fillsFull(0.3);
+        double crowding = Math.max(node.crowding(now), linkCrowding(now));
+        boolean full = late ? fillsFull(0.4, now)
+                : !inTime(view, Math.min(far, farNow), crowding, 0.9, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
 
-    private int fillsOut() {
-        return Stream.concat(edges.stream(), parents.stream()).mapToInt(e -> e.filling).sum();
-    }
-
     private double fillPlaces() {
         return edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
     }
 
     /** How many times longer a fill takes on the location's link; untold, it is 0.45 of the edges' links. */
-    private double linkCrowding() {
+    private double linkCrowding(double now) {
         boolean told = settings.linkIn() > 0 && settings.pace() > 0;
         double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
-        return (fillsOut() + 1) * settings.gatewaysInZone() / places;
+        return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
     }
 
     /** Whether this gateway has its part of this share of the edges' transfers out as fills. */
-    private boolean fillsFull(double share) {
-        return fillsOut() * settings.gatewaysInZone() >= share * fillPlaces();
+    private boolean fillsFull(double share, double now) {
+        return fills.ofAll(settings.gatewaysInZone(), now) >= share * fillPlaces();
     }
 
     private Trip edgeTrip(View view, Node node, Node source, int rank, boolean onlyHeld, double now) {
@@ -682,7 +699,7 @@
     /** When a trip is late: past its crowded sending time and a quarter, and three far waits. */
     private Duration due(View view, Node node, double now) {
         return view.profile.repeat() == Repeat.AT_MOST_ONCE ? null
-                : span(now + 1.25 * work(view) * node.crowding() + Math.max(0.1, 3 * far));
+                : span(now + 1.25 * work(view) * node.crowding(now) + Math.max(0.1, 3 * far));
     }
 
     /**
@@ -711,8 +728,8 @@
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, false, now);
-        boolean full = fillsFull(0.6) && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, 0, source.crowding(), 0.8, now)) {
+        boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
+        if (full || source == null || !inTime(view, 0, source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
@@ -727,7 +744,7 @@
             return new Trip(origin.cache, origin.cache, 0, null, false, false, null);
         }
         Node node = edges.stream().filter(edge -> edge.usable(charge(view), now) && !failedAt(view, edge)
-                && inGroup(view, edge)).min(Comparator.comparingDouble(Node::busy)).orElse(null);
+                && inGroup(view, edge)).min(Comparator.comparingDouble(e -> e.busy(now))).orElse(null);
         Node source = origin != null ? origin : source(view, null, null, false, now);
         return node == null || source == null ? null
                 : new Trip(node.cache, source.cache, 0, null, false, false, due(view, node, now));
