--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -137,7 +137,7 @@
             }
             Settings.ColdStart start = start();
             double rate = start.multiple() * warmth * cache.weight / sharers();
-            allowance = Math.min(0.3 * rate * seconds(start.window()),
+            allowance = Math.min(Math.max(work, 0.3 * rate * seconds(start.window())),
                     allowance + 0.4 * rate * (now - allowanceAt));
             allowanceAt = now;
             return allowance >= work;
