--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -500,7 +500,9 @@
         ended.add(1, now);
         switch (outcome.result()) {
             case HONOURED -> {
-                node.judge(-1, now);
+                boolean slow = node.cache.tier == Tier.EDGE && source == node && view.profile.kept()
+                        && seconds(outcome.took()) > 2 * work(view) * node.crowding(now) + 3 * near + 0.05;
+                node.judge(slow ? 0.5 : -1, now);
                 if (view.profile.kept()) {
                     noteCopy(view, trip, node, source, now);
                 }
