--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -101,6 +101,8 @@
         double wait;
         double allowance;
         double allowanceAt;
+        private double lag;
+        private double lagAt;
 
         Node(Cache cache) {
             this.cache = cache;
@@ -181,6 +183,17 @@
             return Math.max(1, busy(now));
         }
 
+        /** How long a fill from there waits just now; untold for some time, it goes back to D. */
+        double lag(double now) {
+            lag = far + (lag - far) * Math.exp((lagAt - now) / 10);
+            lagAt = now;
+            return lag;
+        }
+
+        void lagged(double sample, double now) {
+            lag += 0.2 * (Math.min(sample, 4 * lag(now)) - lag);
+        }
+
         boolean usable(double work, double now) {
             return ready() && !barred && bears(work, now);
         }
@@ -262,7 +275,6 @@
     private int marginalSamples;
     private double near = 0.005;
     private double far = 0.05;
-    private double farNow = 0.05;
 
     private static long key(View view) {
         return stir(view.object * 1000003 + view.part);
@@ -450,6 +462,9 @@
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
         blame(trip, true, 0.5, now);
+        if (source != node && !trip.onlyHeld) {
+            source.lagged(now - seconds(trip.sent) - work(view), now);
+        }
         if (now + 1.2 * work(view) > agreed(view) || !furtherAllowed(view, now) || !mayRun(view, now)) {
             return NOT_YET;
         }
@@ -507,7 +522,11 @@
                     noteCopy(view, trip, node, source, now);
                 }
             }
-            case MISSED -> source.judge(-1, now);
+            case MISSED -> {
+                if (source == node || source.barred) {
+                    source.judge(-1, now);
+                }
+            }
             case ERRED, BROKEN -> blame(trip, false, 1, now);
             case TIMED_OUT -> blame(trip, true, 0.5, now);
             case UNREACHED -> node.judge(1, now);
@@ -551,7 +570,7 @@
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
-                farNow += 0.2 * (Math.min(first, 4 * farNow) - farNow);
+                source.lagged(first, now);
             }
         }
         item.heldAt = atHome ? now : item.heldAt;
@@ -660,8 +679,8 @@
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        boolean late = shut != null || !inTime(view, farNow, node.crowding(now), 1, now);
-        Node source = source(view, node, hot ? home : null, late, now);
+        Node source = source(view, node, hot ? home : null, now);
+        boolean late = shut != null || source != null && !inTime(view, source.lag(now), node.crowding(now), 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
@@ -672,7 +691,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, farNow), crowding, 0.9, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.9, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -717,19 +736,20 @@
     }
 
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
-    private Node source(View view, Node node, Node sibling, boolean slow, double now) {
+    private Node source(View view, Node node, Node sibling, double now) {
         if (sibling != null && sibling != node && settings.siblings() && !askedToFill(view, sibling)) {
             return sibling;
         }
-        Node parent = first(parents(view, slow), p -> !askedToFill(view, p)
-                && (p.usable(charge(view), now) || p.trial(view, now)));
+        Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
+        Node parent = first(parents(view, false), fit.and(p -> inTime(view, p.lag(now), 1, 1, now)));
+        parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
                 && (!o.barred || o.trial(view, now)));
     }
 
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
-        Node source = source(view, null, null, false, now);
+        Node source = source(view, null, null, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
         if (full || source == null || !inTime(view, 0, source.crowding(now), 0.8, now)) {
             return null;
@@ -747,7 +767,7 @@
         }
         Node node = edges.stream().filter(edge -> edge.usable(charge(view), now) && !failedAt(view, edge)
                 && inGroup(view, edge)).min(Comparator.comparingDouble(e -> e.busy(now))).orElse(null);
-        Node source = origin != null ? origin : source(view, null, null, false, now);
+        Node source = origin != null ? origin : source(view, null, null, now);
         return node == null || source == null ? null
                 : new Trip(node.cache, source.cache, 0, null, false, false, due(view, node, now));
     }
