--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -101,6 +101,8 @@
         double wait;
         double allowance;
         double allowanceAt;
+        private Load load;
+        private double loadAt = -9;
         private double lag;
         private double lagAt;
 
@@ -178,9 +180,10 @@
             return cache.tier == Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
         }
 
-        /** How many times longer than alone a transfer takes there. */
+        /** How many times longer than alone a transfer takes there; a cache that says it has room has it. */
         double crowding(double now) {
-            return Math.max(1, busy(now));
+            double full = now - loadAt > 2 ? 1 : Math.max(0, Math.min(1, (load.busy() - 0.7) / 0.2));
+            return 1 + (Math.max(1, busy(now)) - 1) * full;
         }
 
         /** How long a fill from there waits just now; untold for some time, it goes back to D. */
@@ -394,6 +397,11 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
+        Node node = nodes.get(cache);
+        if (node != null && !Double.isNaN(load.busy())) {
+            node.load = load;
+            node.loadAt = seconds(now);
+        }
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
