--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -101,8 +101,6 @@
         double wait;
         double allowance;
         double allowanceAt;
-        private Load load;
-        private double loadAt = -9;
         private double lag;
         private double lagAt;
 
@@ -180,10 +178,9 @@
             return cache.tier == Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
         }
 
-        /** How many times longer than alone a transfer takes there; a cache that says it has room has it. */
+        /** How many times longer than alone a transfer takes there. */
         double crowding(double now) {
-            double full = now - loadAt > 2 ? 1 : Math.max(0, Math.min(1, (load.busy() - 0.7) / 0.2));
-            return 1 + (Math.max(1, busy(now)) - 1) * full;
+            return Math.max(1, busy(now));
         }
 
         /** How long a fill from there waits just now; untold for some time, it goes back to D. */
@@ -397,11 +394,6 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
-        Node node = nodes.get(cache);
-        if (node != null && !Double.isNaN(load.busy())) {
-            node.load = load;
-            node.loadAt = seconds(now);
-        }
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
@@ -749,7 +741,9 @@
             return sibling;
         }
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
-        Node parent = first(parents(view, false), fit.and(p -> inTime(view, p.lag(now), 1, 1, now)));
+        Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.7, now);
+        Node parent = first(parents(view, false), fit.and(quick));
+        parent = parent != null ? parent : first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
                 && (!o.barred || o.trial(view, now)));
