--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -684,8 +684,9 @@
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
+        Node nearest = first(parents(view, false), parent -> parent.usable(charge, now));
         Node holder = !late ? null : first(parents(view, false), parent -> !askedToFill(view, parent)
-                && !lookedAt(view, kept, parent) && (parent == source || parent.usable(charge, now)));
+                && !lookedAt(view, kept, parent) && (parent == source || parent == nearest));
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
