--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -101,6 +101,8 @@
         double wait;
         double allowance;
         double allowanceAt;
+        private double slowness = 1;
+        private double slowAt;
         private double lag;
         private double lagAt;
 
@@ -180,7 +182,19 @@
 
         /** How many times longer than alone a transfer takes there. */
         double crowding(double now) {
-            return Math.max(1, busy(now));
+            return Math.max(1, busy(now)) * slowness(now);
+        }
+
+        /** How many times longer than its crowd explains its hits took lately; back to 1 when not seen. */
+        double slowness(double now) {
+            slowness = 1 + (slowness - 1) * Math.exp((slowAt - now) / 10);
+            slowAt = now;
+            return slowness;
+        }
+
+        void hitTook(double stretch, double now) {
+            double sample = Math.min(10, stretch / Math.max(1, busy(now)));
+            slowness = Math.max(1, slowness(now) + 0.15 * (sample - slowness));
         }
 
         /** How long a fill from there waits just now; untold for some time, it goes back to D. */
@@ -518,6 +532,9 @@
                 boolean slow = node.cache.tier == Tier.EDGE && source == node && view.profile.kept()
                         && seconds(outcome.took()) > 2 * work(view) * node.crowding(now) + 3 * near + 0.05;
                 node.judge(slow ? 0.5 : -1, now);
+                if (source == node && node.cache.tier == Tier.EDGE) {
+                    node.hitTook((seconds(outcome.took()) - near) / work(view), now);
+                }
                 if (view.profile.kept()) {
                     noteCopy(view, trip, node, source, now);
                 }
@@ -662,12 +679,6 @@
                         ? edge : node;
             }
         }
-        // Guards against a crowded or slow cache: its objects go to the next one that has room.
-        if (node != null && !lookedAt(view, node, node) && !inTime(view, 0, node.crowding(now), 0.8, now)) {
-            Node roomy = first(order, edge -> !failedAt(view, edge) && edge.usable(charge, now)
-                    && inTime(view, 0, edge.crowding(now), 0.8, now));
-            node = roomy != null ? roomy : node;
-        }
         if (node == null && settings.direct()) {
             return straightTrip(view, now);
         }
