--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -679,20 +679,13 @@
                         ? edge : node;
             }
         }
-        // Guards against a slow cache: its objects go to the next one that has room.
-        if (node != null && node.slowness(now) > 1.5 && !lookedAt(view, node, node)
-                && !inTime(view, 0, node.crowding(now), 0.8, now)) {
-            Node roomy = first(order, edge -> !failedAt(view, edge) && edge.usable(charge, now)
-                    && inTime(view, 0, edge.crowding(now), 0.8, now));
-            node = roomy != null ? roomy : node;
-        }
         if (node == null && settings.direct()) {
             return straightTrip(view, now);
         }
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), 0.8, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), 0.6, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
