--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -685,7 +685,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), 0.6, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), 0.45, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
