--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -685,7 +685,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), 0.45, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), 0.6, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
@@ -709,7 +709,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.9, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
