--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -654,10 +654,10 @@
                 && t.outcome != null && t.outcome.result() == Result.MISSED);
     }
 
-    /** Whether a view sent now would be back within its sending time and this share of the slack beyond it. */
+    /** Whether a view sent now would be back within this share of its agreed time. */
     private boolean inTime(View view, double wait, double crowding, double share, double now) {
-        double alone = seconds(view.arrived) + work(view);
-        return now + wait + work(view) * crowding < alone + share * (agreed(view) - alone);
+        double arrived = seconds(view.arrived);
+        return now + wait + work(view) * crowding < arrived + share * (agreed(view) - arrived);
     }
 
     /**
@@ -685,7 +685,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), 0.33, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.3 ? 1 : 0.45, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
@@ -709,7 +709,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.55, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -759,7 +759,7 @@
             return sibling;
         }
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
-        Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.55, now);
+        Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.7, now);
         Node parent = first(parents(view, false), fit.and(quick));
         parent = parent != null ? parent : first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         parent = parent != null ? parent : first(parents(view, true), fit);
@@ -771,7 +771,7 @@
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, 0, source.crowding(now), 0.7, now)) {
+        if (full || source == null || !inTime(view, 0, source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
