--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -685,7 +685,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.3 ? 1 : 0.45, now)) {
+        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.6 ? 0.8 : 0.5, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
