--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -679,13 +679,19 @@
                         ? edge : node;
             }
         }
+        // Guards against a slow cache: its objects go to the next one that has room.
+        if (node != null && node.slowness(now) > 1.3 && !lookedAt(view, node, node) && !roomy(view, node, now)) {
+            Node next = first(order, edge -> !failedAt(view, edge) && edge.usable(charge, now)
+                    && roomy(view, edge, now));
+            node = next != null ? next : node;
+        }
         if (node == null && settings.direct()) {
             return straightTrip(view, now);
         }
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.6 ? 0.8 : 0.5, now)) {
+        if (node == null || !roomy(view, node, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
@@ -714,6 +720,12 @@
                 : edgeTrip(view, node, source, rank, false, now);
     }
 
+    /** Whether a cache would send this view in time: in all of it where it has room, else in 0.45 of it. */
+    private boolean roomy(View view, Node node, double now) {
+        double crowding = node.crowding(now);
+        return inTime(view, 0, crowding, crowding < 1.4 ? 1 : 0.45, now);
+    }
+
     private double fillPlaces() {
         return edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
     }
