--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -594,6 +594,7 @@
     }
 
     private final Level fills = new Level();
+    private final Sum fillWork = new Sum();
 
     /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
     private void count(Trip trip, int change, double now) {
@@ -613,6 +614,9 @@
             return giveUp(view);
         }
         count(trip, 1, now);
+        if (!trip.onlyHeld && trip.source != trip.cache) {
+            fillWork.add(work(view), now);
+        }
         nodes.get(trip.cache).allowance -= charge(view);
         nodes.get(trip.source).allowance -= trip.source == trip.cache ? 0 : charge(view);
         return trip;
@@ -734,7 +738,8 @@
     private double linkCrowding(double now) {
         boolean told = settings.linkIn() > 0 && settings.pace() > 0;
         double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
-        return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
+        double crowd = (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
+        return fillWork.read(now) / 3 * settings.gatewaysInZone() < 0.8 * places ? Math.min(1, crowd) : crowd;
     }
 
     /** Whether this gateway has its part of this share of the edges' transfers out as fills. */
