--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -594,7 +594,6 @@
     }
 
     private final Level fills = new Level();
-    private final Sum fillWork = new Sum();
 
     /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
     private void count(Trip trip, int change, double now) {
@@ -614,9 +613,6 @@
             return giveUp(view);
         }
         count(trip, 1, now);
-        if (!trip.onlyHeld && trip.source != trip.cache) {
-            fillWork.add(work(view), now);
-        }
         nodes.get(trip.cache).allowance -= charge(view);
         nodes.get(trip.source).allowance -= trip.source == trip.cache ? 0 : charge(view);
         return trip;
@@ -719,7 +715,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
+                : !inTime(view, source.lag(now), crowding, 0.7, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -738,8 +734,7 @@
     private double linkCrowding(double now) {
         boolean told = settings.linkIn() > 0 && settings.pace() > 0;
         double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
-        double crowd = (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
-        return fillWork.read(now) / 3 * settings.gatewaysInZone() < 0.8 * places ? Math.min(1, crowd) : crowd;
+        return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
     }
 
     /** Whether this gateway has its part of this share of the edges' transfers out as fills. */
