--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -715,7 +715,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, source.lag(now), crowding, 0.7, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
