--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -539,11 +539,7 @@
                     noteCopy(view, trip, node, source, now);
                 }
             }
-            case MISSED -> {
-                if (source == node || source.barred) {
-                    source.judge(-1, now);
-                }
-            }
+            case MISSED -> source.judge(-1, now);
             case ERRED, BROKEN -> blame(trip, false, 1, now);
             case TIMED_OUT -> blame(trip, true, 0.5, now);
             case UNREACHED -> node.judge(1, now);
@@ -578,11 +574,16 @@
         } else if (source != node && outcome.detail().compareTo(Detail.FILLED) >= 0
                 && outcome.detail() != Detail.OLD) {
             source.judge(-1, now);
+            double first = outcome.sourceWait() == null ? wait : seconds(outcome.sourceWait());
             if (source.cache.tier == Tier.PARENT && !trip.onlyHeld) {
                 boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
-                origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
+                for (Node origin : origins) {
+                    origin.judge(beyond ? -1 : -0.5, now);
+                    if (beyond) {
+                        origin.lagged(first, now);
+                    }
+                }
             }
-            double first = outcome.sourceWait() == null ? wait : seconds(outcome.sourceWait());
             if (source.cache.tier == Tier.EDGE) {
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
@@ -783,7 +784,7 @@
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, 0, source.crowding(now), 0.8, now)) {
+        if (full || source == null || !inTime(view, source.lag(now), source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
