--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -289,6 +289,7 @@
     private int marginalSamples;
     private double near = 0.005;
     private double far = 0.05;
+    private double farNow = 0.05;
 
     private static long key(View view) {
         return stir(view.object * 1000003 + view.part);
@@ -588,6 +589,7 @@
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
+                farNow += 0.2 * (Math.min(first, 4 * farNow) - farNow);
                 source.lagged(first, now);
             }
         }
@@ -703,8 +705,9 @@
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        Node source = source(view, node, hot ? home : null, now);
-        boolean late = shut != null || source != null && !inTime(view, source.lag(now), node.crowding(now), 1, now);
+        boolean slow = shut != null || !inTime(view, farNow, node.crowding(now), 1, now);
+        Node source = source(view, node, hot ? home : null, slow, now);
+        boolean late = slow || source != null && !inTime(view, source.lag(now), node.crowding(now), 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
@@ -767,13 +770,13 @@
     }
 
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
-    private Node source(View view, Node node, Node sibling, double now) {
+    private Node source(View view, Node node, Node sibling, boolean slow, double now) {
         if (sibling != null && sibling != node && settings.siblings() && !askedToFill(view, sibling)) {
             return sibling;
         }
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
         Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.7, now);
-        Node parent = first(parents(view, false), fit.and(quick));
+        Node parent = first(parents(view, slow), fit.and(quick));
         parent = parent != null ? parent : first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
@@ -782,7 +785,7 @@
 
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
-        Node source = source(view, null, null, now);
+        Node source = source(view, null, null, false, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
         if (full || source == null || !inTime(view, source.lag(now), source.crowding(now), 0.8, now)) {
             return null;
@@ -800,7 +803,7 @@
         }
         Node node = edges.stream().filter(edge -> edge.usable(charge(view), now) && !failedAt(view, edge)
                 && inGroup(view, edge)).min(Comparator.comparingDouble(e -> e.busy(now))).orElse(null);
-        Node source = origin != null ? origin : source(view, null, null, now);
+        Node source = origin != null ? origin : source(view, null, null, false, now);
         return node == null || source == null ? null
                 : new Trip(node.cache, source.cache, 0, null, false, false, due(view, node, now));
     }
