--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -199,7 +199,7 @@
 
         /** How long a fill from there waits just now; untold for some time, it goes back to D. */
         double lag(double now) {
-            lag = far + (lag - far) * Math.exp((lagAt - now) / 10);
+            lag = farNow + (lag - farNow) * Math.exp((lagAt - now) / 4);
             lagAt = now;
             return lag;
         }
@@ -705,7 +705,7 @@
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        boolean slow = shut != null || !inTime(view, farNow, node.crowding(now), 1, now);
+        boolean slow = shut != null || !inTime(view, quickest(now), node.crowding(now), 1, now);
         Node source = source(view, node, hot ? home : null, slow, now);
         boolean late = slow || source != null && !inTime(view, source.lag(now), node.crowding(now), 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
@@ -769,6 +769,11 @@
         return order;
     }
 
+    /** The least of the parents' present waits: only where even that is long, the tier above them is slow. */
+    private double quickest(double now) {
+        return parents.stream().filter(Node::ready).mapToDouble(p -> p.lag(now)).min().orElse(farNow);
+    }
+
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
     private Node source(View view, Node node, Node sibling, boolean slow, double now) {
         if (sibling != null && sibling != node && settings.siblings() && !askedToFill(view, sibling)) {
