--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -409,6 +409,10 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
+        if (cache.tier == Tier.EDGE && cache.zone == settings.zone() && !Double.isNaN(load.linkUse())) {
+            linkUse += 0.2 * (load.linkUse() - linkUse);
+            linkToldAt = seconds(now);
+        }
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
@@ -597,6 +601,8 @@
     }
 
     private final Level fills = new Level();
+    private double linkUse;
+    private double linkToldAt = -9;
 
     /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
     private void count(Trip trip, int change, double now) {
@@ -736,6 +742,9 @@
 
     /** How many times longer a fill takes on the location's link; untold, it is 0.45 of the edges' links. */
     private double linkCrowding(double now) {
+        if (now - linkToldAt < 3) {
+            return linkUse;
+        }
         boolean told = settings.linkIn() > 0 && settings.pace() > 0;
         double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
         return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
