--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -530,7 +530,7 @@
         Outcome outcome = trip.outcome;
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
-        count(trip, -1, now);
+        count(view, trip, -1, now);
         ended.add(1, now);
         switch (outcome.result()) {
             case HONOURED -> {
@@ -604,10 +604,17 @@
     private double linkUse;
     private double linkToldAt = -9;
 
-    /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
-    private void count(Trip trip, int change, double now) {
+    private final Map<Trip, Double> places = new IdentityHashMap<>();
+
+    /** A fill takes its cache's link only while it sends, not while it waits for its source. */
+    private void count(View view, Trip trip, int change, double now) {
         boolean look = trip.cache.tier == Tier.EDGE && (trip.source == trip.cache || trip.onlyHeld);
-        nodes.get(trip.cache).inHand.add(look ? change : 0.5 * change, now);
+        double place = change < 0 ? places.remove(trip) : look ? 1
+                : work(view) / (work(view) + nodes.get(trip.source).lag(now));
+        if (change > 0) {
+            places.put(trip, place);
+        }
+        nodes.get(trip.cache).inHand.add(change * place, now);
         fills.add(look ? 0 : change, now);
     }
 
@@ -621,7 +628,7 @@
         if (trip == null) {
             return giveUp(view);
         }
-        count(trip, 1, now);
+        count(view, trip, 1, now);
         nodes.get(trip.cache).allowance -= charge(view);
         nodes.get(trip.source).allowance -= trip.source == trip.cache ? 0 : charge(view);
         return trip;
