--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -197,15 +197,15 @@
             slowness = Math.max(1, slowness(now) + 0.15 * (sample - slowness));
         }
 
-        /** How long a fill from there waits just now; untold for some time, it goes back to D. */
+        /** How long a fill from there waits just now; not seen for some time, it is taken as quick again. */
         double lag(double now) {
-            lag = farNow + (lag - farNow) * Math.exp((lagAt - now) / 4);
+            lag *= Math.exp((lagAt - now) / 10);
             lagAt = now;
             return lag;
         }
 
         void lagged(double sample, double now) {
-            lag += 0.2 * (Math.min(sample, 4 * lag(now)) - lag);
+            lag += 0.2 * (Math.min(sample, 4 * Math.max(far, lag(now))) - lag);
         }
 
         boolean usable(double work, double now) {
