--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -732,7 +732,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.9, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -798,7 +798,7 @@
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
         Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
-        parent = parent != null ? parent : first(origins, o -> false && !askedToFill(view, o) && quick.test(o));
+        parent = parent != null ? parent : first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
                 && (!o.barred || o.trial(view, now)));
