--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -409,10 +409,6 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
-        if (cache.tier == Tier.EDGE && cache.zone == settings.zone() && !Double.isNaN(load.linkUse())) {
-            linkUse += 0.2 * (load.linkUse() - linkUse);
-            linkToldAt = seconds(now);
-        }
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
@@ -530,7 +526,7 @@
         Outcome outcome = trip.outcome;
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
-        count(view, trip, -1, now);
+        count(trip, -1, now);
         ended.add(1, now);
         switch (outcome.result()) {
             case HONOURED -> {
@@ -601,20 +597,11 @@
     }
 
     private final Level fills = new Level();
-    private double linkUse;
-    private double linkToldAt = -9;
-
-    private final Map<Trip, Double> places = new IdentityHashMap<>();
 
-    /** A fill takes its cache's link only while it sends, not while it waits for its source. */
-    private void count(View view, Trip trip, int change, double now) {
+    /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
+    private void count(Trip trip, int change, double now) {
         boolean look = trip.cache.tier == Tier.EDGE && (trip.source == trip.cache || trip.onlyHeld);
-        double place = change < 0 ? places.remove(trip) : look ? 1
-                : work(view) / (work(view) + nodes.get(trip.source).lag(now));
-        if (change > 0) {
-            places.put(trip, place);
-        }
-        nodes.get(trip.cache).inHand.add(change * place, now);
+        nodes.get(trip.cache).inHand.add(look ? change : 0.5 * change, now);
         fills.add(look ? 0 : change, now);
     }
 
@@ -628,7 +615,7 @@
         if (trip == null) {
             return giveUp(view);
         }
-        count(view, trip, 1, now);
+        count(trip, 1, now);
         nodes.get(trip.cache).allowance -= charge(view);
         nodes.get(trip.source).allowance -= trip.source == trip.cache ? 0 : charge(view);
         return trip;
@@ -749,9 +736,6 @@
 
     /** How many times longer a fill takes on the location's link; untold, it is 0.45 of the edges' links. */
     private double linkCrowding(double now) {
-        if (now - linkToldAt < 3) {
-            return linkUse;
-        }
         boolean told = settings.linkIn() > 0 && settings.pace() > 0;
         double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
         return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
