--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -580,9 +580,6 @@
                 boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
                 for (Node origin : origins) {
                     origin.judge(beyond ? -1 : -0.5, now);
-                    if (beyond) {
-                        origin.lagged(first, now);
-                    }
                 }
             }
             if (source.cache.tier == Tier.EDGE) {
