--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -89,6 +89,22 @@
         }
     }
 
+    /** How long a source keeps a fill waiting just now; not seen for some time, it is taken as quick again. */
+    private final class Wait {
+        private double value;
+        private double at;
+
+        double read(double now) {
+            value *= Math.exp((at - now) / 10);
+            at = now;
+            return value;
+        }
+
+        void add(double sample, double now) {
+            value += 0.2 * (Math.min(sample, 4 * Math.max(far, read(now))) - value);
+        }
+    }
+
     /** What this gateway knows of one cache from its own trips. */
     private final class Node {
         final Cache cache;
@@ -103,8 +119,8 @@
         double allowanceAt;
         private double slowness = 1;
         private double slowAt;
-        private double lag;
-        private double lagAt;
+        final Wait fill = new Wait();
+        final Wait held = new Wait();
 
         Node(Cache cache) {
             this.cache = cache;
@@ -197,17 +213,6 @@
             slowness = Math.max(1, slowness(now) + 0.15 * (sample - slowness));
         }
 
-        /** How long a fill from there waits just now; not seen for some time, it is taken as quick again. */
-        double lag(double now) {
-            lag *= Math.exp((lagAt - now) / 10);
-            lagAt = now;
-            return lag;
-        }
-
-        void lagged(double sample, double now) {
-            lag += 0.2 * (Math.min(sample, 4 * Math.max(far, lag(now))) - lag);
-        }
-
         boolean usable(double work, double now) {
             return ready() && !barred && bears(work, now);
         }
@@ -289,7 +294,6 @@
     private int marginalSamples;
     private double near = 0.005;
     private double far = 0.05;
-    private double farNow = 0.05;
 
     private static long key(View view) {
         return stir(view.object * 1000003 + view.part);
@@ -477,8 +481,8 @@
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
         blame(trip, true, 0.5, now);
-        if (source != node && !trip.onlyHeld) {
-            source.lagged(now - seconds(trip.sent) - work(view), now);
+        if (source != node) {
+            (trip.onlyHeld ? source.held : source.fill).add(now - seconds(trip.sent) - work(view), now);
         }
         if (now + 1.2 * work(view) > agreed(view) || !furtherAllowed(view, now) || !mayRun(view, now)) {
             return NOT_YET;
@@ -586,8 +590,10 @@
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
-                farNow += 0.2 * (Math.min(first, 4 * farNow) - farNow);
-                source.lagged(first, now);
+                source.fill.add(first, now);
+            }
+            if (trip.onlyHeld || outcome.detail() == Detail.FILLED && settings.tellsSources()) {
+                source.held.add(first, now);
             }
         }
         item.heldAt = atHome ? now : item.heldAt;
@@ -704,7 +710,7 @@
         Node shut = first(origins, origin -> origin.barred);
         boolean slow = shut != null || !inTime(view, quickest(now), node.crowding(now), 1, now);
         Node source = source(view, node, hot ? home : null, slow, now);
-        boolean late = slow || source != null && !inTime(view, source.lag(now), node.crowding(now), 1, now);
+        boolean late = slow || source != null && !inTime(view, source.fill.read(now), node.crowding(now), 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
@@ -716,7 +722,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.lag(now)), crowding, 0.7, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.fill.read(now)), crowding, 0.8, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -768,7 +774,7 @@
 
     /** The least of the parents' present waits: only where even that is long, the tier above them is slow. */
     private double quickest(double now) {
-        return parents.stream().filter(Node::ready).mapToDouble(p -> p.lag(now)).min().orElse(farNow);
+        return parents.stream().filter(Node::ready).mapToDouble(p -> p.fill.read(now)).min().orElse(far);
     }
 
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
@@ -777,9 +783,12 @@
             return sibling;
         }
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
-        Predicate<Node> quick = p -> inTime(view, p.lag(now), 1, 0.7, now);
+        Predicate<Node> quick = p -> inTime(view, p.fill.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
-        parent = parent != null ? parent : first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
+        // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
+        if (parent == null && parents.stream().noneMatch(p -> inTime(view, p.held.read(now), 1, 0.7, now))) {
+            parent = first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
+        }
         parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
                 && (!o.barred || o.trial(view, now)));
@@ -789,7 +798,7 @@
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, false, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, source.lag(now), source.crowding(now), 0.8, now)) {
+        if (full || source == null || !inTime(view, source.fill.read(now), source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
