--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -714,9 +714,9 @@
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
-        Node nearest = first(parents(view, false), parent -> parent.usable(charge, now));
-        Node holder = !late ? null : first(parents(view, false), parent -> !askedToFill(view, parent)
-                && !lookedAt(view, kept, parent) && (parent == source || parent == nearest));
+        long asked = view.trips.stream().filter(t -> t.onlyHeld).count();
+        Node holder = !late || asked >= 3 ? null : first(parents(view, false), parent -> !askedToFill(view, parent)
+                && !lookedAt(view, kept, parent) && (parent == source || parent.usable(charge, now)));
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
@@ -786,7 +786,7 @@
         Predicate<Node> quick = p -> inTime(view, p.fill.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
         // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
-        if (parent == null && parents.stream().noneMatch(p -> inTime(view, p.held.read(now), 1, 0.7, now))) {
+        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now) && inTime(view, p.held.read(now), 1, 0.7, now))) {
             parent = first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         }
         parent = parent != null ? parent : first(parents(view, true), fit);
