--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -50,13 +50,21 @@
         this.settings = settings;
     }
 
-    /** A sum that fades in 3 s, long enough for some tens of views; brought up to date when read. */
-    private static final class Sum {
+    /** A measure that goes back to its rest within a span; brought up to date when read. */
+    private static final class Fading {
+        private final double span;
+        private double rest;
         private double value;
         private double at;
 
+        Fading(double span, double rest) {
+            this.span = span;
+            this.rest = rest;
+            this.value = rest;
+        }
+
         double read(double now) {
-            value *= Math.exp((at - now) / 3);
+            value = rest + (value - rest) * Math.exp((at - now) / span);
             at = now;
             return value;
         }
@@ -64,44 +72,20 @@
         void add(double amount, double now) {
             value = read(now) + amount;
         }
-    }
 
-    /** How much is out, now and on average over the last seconds; brought up to date when read. */
-    private static final class Level {
-        private double out;
-        private double mean;
-        private double at;
-
-        double read(double now) {
-            mean = out + (mean - out) * Math.exp((at - now) / 3);
-            at = now;
-            return mean;
+        void toward(double sample, double part, double now) {
+            add(part * (sample - read(now)), now);
         }
 
-        void add(double change, double now) {
+        /** For what is out: the rest is what is out now, so that the value is its mean over the span. */
+        void shift(double change, double now) {
             read(now);
-            out += change;
+            rest += change;
         }
 
         /** What all gateways have out: this one's as it is, the others' as this one's was on average. */
         double ofAll(int sharers, double now) {
-            return out + (sharers - 1) * read(now);
-        }
-    }
-
-    /** How long a source keeps a fill waiting just now; not seen for some time, it is taken as quick again. */
-    private final class Wait {
-        private double value;
-        private double at;
-
-        double read(double now) {
-            value *= Math.exp((at - now) / 10);
-            at = now;
-            return value;
-        }
-
-        void add(double sample, double now) {
-            value += 0.2 * (Math.min(sample, 4 * Math.max(far, read(now))) - value);
+            return rest + (sharers - 1) * read(now);
         }
     }
 
@@ -109,18 +93,17 @@
     private final class Node {
         final Cache cache;
         Duration upSince;
-        final Level inHand = new Level();
-        double doubt;
-        double judgedAt;
+        /** The mean over 3 s evens out some tens of views; the waits and the slowness are forgotten in 10 s. */
+        final Fading inHand = new Fading(3, 0);
+        final Fading fillWait = new Fading(10, 0);
+        final Fading heldWait = new Fading(10, 0);
+        final Fading slowness = new Fading(10, 1);
+        final Fading doubt = new Fading(20, 0);
         boolean barred;
         double triedAt;
         double wait;
         double allowance;
         double allowanceAt;
-        private double slowness = 1;
-        private double slowAt;
-        final Wait fill = new Wait();
-        final Wait held = new Wait();
 
         Node(Cache cache) {
             this.cache = cache;
@@ -169,21 +152,17 @@
          * caches that fail fast, hang or are gone, whatever the cause.
          */
         void judge(double weight, double now) {
-            doubt *= barred ? 1 : Math.exp((judgedAt - now) / 20);
-            judgedAt = now;
             if (weight > 0) {
-                doubt = Math.min(9, doubt + 3 * weight);
-                if (barred || doubt >= 6) {
+                doubt.add(Math.min(9 - doubt.read(now), 3 * weight), now);
+                if (barred || doubt.value >= 6) {
                     wait = barred ? Math.min(4, wait * 2) : 1;
                     barred = true;
                     triedAt = now;
                 }
             } else {
-                doubt = Math.max(0, doubt + (barred ? 4 : 1) * 0.5 * weight);
+                doubt.add(Math.max(-doubt.read(now), (barred ? 4 : 1) * 0.5 * weight), now);
                 wait = 0.25;
-                if (doubt < 3) {
-                    barred = false;
-                }
+                barred &= doubt.value >= 3;
             }
         }
 
@@ -196,21 +175,15 @@
             return cache.tier == Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
         }
 
-        /** How many times longer than alone a transfer takes there. */
+        /** How many times longer than alone a transfer takes there: by its crowd, and beyond it by its hits. */
         double crowding(double now) {
-            return Math.max(1, busy(now)) * slowness(now);
-        }
-
-        /** How many times longer than its crowd explains its hits took lately; back to 1 when not seen. */
-        double slowness(double now) {
-            slowness = 1 + (slowness - 1) * Math.exp((slowAt - now) / 10);
-            slowAt = now;
-            return slowness;
+            return Math.max(1, busy(now)) * Math.max(1, slowness.read(now));
         }
 
-        void hitTook(double stretch, double now) {
-            double sample = Math.min(10, stretch / Math.max(1, busy(now)));
-            slowness = Math.max(1, slowness(now) + 0.15 * (sample - slowness));
+        /** A sample of a wait there; one alone does not make it slow. */
+        void waited(boolean held, double sample, double now) {
+            Fading wait = held ? heldWait : fillWait;
+            wait.toward(Math.min(sample, 4 * Math.max(far, wait.read(now))), 0.2, now);
         }
 
         boolean usable(double work, double now) {
@@ -402,7 +375,7 @@
                 node.allowance = 0;
                 node.allowanceAt = seconds(now);
                 node.barred = false;
-                node.doubt = 0;
+                node.doubt.value = 0;
             }
         }
         edges = caches.stream().filter(c -> c.tier == Tier.EDGE && c.zone == settings.zone())
@@ -482,7 +455,7 @@
         Node source = nodes.get(trip.source);
         blame(trip, true, 0.5, now);
         if (source != node) {
-            (trip.onlyHeld ? source.held : source.fill).add(now - seconds(trip.sent) - work(view), now);
+            source.waited(trip.onlyHeld, now - seconds(trip.sent) - work(view), now);
         }
         if (now + 1.2 * work(view) > agreed(view) || !furtherAllowed(view, now) || !mayRun(view, now)) {
             return NOT_YET;
@@ -490,12 +463,12 @@
         if (settings.secondCopies()) {
             return next(view, now) instanceof Trip further ? further : NOT_YET;
         }
-        boolean doubted = Math.max(node.doubt, source.doubt) > 3;
+        boolean doubted = Math.max(node.doubt.read(now), source.doubt.read(now)) > 3;
         return settings.recalls() && doubted ? new Answer.Recall(trip) : NOT_YET;
     }
 
-    private final Sum ended = new Sum();
-    private final Sum swamped = new Sum();
+    private final Fading ended = new Fading(3, 0);
+    private final Fading swamped = new Fading(3, 0);
 
     /** Overload as this gateway sees it: over a tenth of its latest trips were turned away. */
     private boolean overload(double now) {
@@ -538,7 +511,8 @@
                         && seconds(outcome.took()) > 2 * work(view) * node.crowding(now) + 3 * near + 0.05;
                 node.judge(slow ? 0.5 : -1, now);
                 if (source == node && node.cache.tier == Tier.EDGE) {
-                    node.hitTook((seconds(outcome.took()) - near) / work(view), now);
+                    double stretch = (seconds(outcome.took()) - near) / work(view) / Math.max(1, node.busy(now));
+                    node.slowness.toward(Math.min(10, stretch), 0.15, now);
                 }
                 if (view.profile.kept()) {
                     noteCopy(view, trip, node, source, now);
@@ -590,22 +564,22 @@
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
-                source.fill.add(first, now);
+                source.waited(false, first, now);
             }
             if (trip.onlyHeld || outcome.detail() == Detail.FILLED && settings.tellsSources()) {
-                source.held.add(first, now);
+                source.waited(true, first, now);
             }
         }
         item.heldAt = atHome ? now : item.heldAt;
     }
 
-    private final Level fills = new Level();
+    private final Fading fills = new Fading(3, 0);
 
     /** A fill takes about half the place of a hit at its cache, since it waits before it sends. */
     private void count(Trip trip, int change, double now) {
         boolean look = trip.cache.tier == Tier.EDGE && (trip.source == trip.cache || trip.onlyHeld);
-        nodes.get(trip.cache).inHand.add(look ? change : 0.5 * change, now);
-        fills.add(look ? 0 : change, now);
+        nodes.get(trip.cache).inHand.shift(look ? change : 0.5 * change, now);
+        fills.shift(look ? 0 : change, now);
     }
 
     // ---- where to -----------------------------------------------------------------------------------------
@@ -686,7 +660,7 @@
             }
         }
         // Guards against a slow cache: its objects go to the next one that has room.
-        if (node != null && node.slowness(now) > 1.3 && !lookedAt(view, node, node) && !roomy(view, node, now)) {
+        if (node != null && node.slowness.read(now) > 1.3 && !lookedAt(view, node, node) && !roomy(view, node, now)) {
             Node next = first(order, edge -> !failedAt(view, edge) && edge.usable(charge, now)
                     && roomy(view, edge, now));
             node = next != null ? next : node;
@@ -710,7 +684,7 @@
         Node shut = first(origins, origin -> origin.barred);
         boolean slow = shut != null || !inTime(view, quickest(now), node.crowding(now), 1, now);
         Node source = source(view, node, hot ? home : null, slow, now);
-        boolean late = slow || source != null && !inTime(view, source.fill.read(now), node.crowding(now), 1, now);
+        boolean late = slow || source != null && !inTime(view, source.fillWait.read(now), node.crowding(now), 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
@@ -722,7 +696,7 @@
         }
         double crowding = Math.max(node.crowding(now), linkCrowding(now));
         boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.fill.read(now)), crowding, 0.8, now) && fillsFull(0.3, now);
+                : !inTime(view, Math.min(far, source.fillWait.read(now)), crowding, 0.8, now) && fillsFull(0.3, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -774,7 +748,7 @@
 
     /** The least of the parents' present waits: only where even that is long, the tier above them is slow. */
     private double quickest(double now) {
-        return parents.stream().filter(Node::ready).mapToDouble(p -> p.fill.read(now)).min().orElse(far);
+        return parents.stream().filter(Node::ready).mapToDouble(p -> p.fillWait.read(now)).min().orElse(far);
     }
 
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
@@ -783,10 +757,10 @@
             return sibling;
         }
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
-        Predicate<Node> quick = p -> inTime(view, p.fill.read(now), 1, 0.7, now);
+        Predicate<Node> quick = p -> inTime(view, p.fillWait.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
         // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
-        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now) && inTime(view, p.held.read(now), 1, 0.7, now))) {
+        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now) && inTime(view, p.heldWait.read(now), 1, 0.7, now))) {
             parent = first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         }
         parent = parent != null ? parent : first(parents(view, true), fit);
@@ -798,7 +772,7 @@
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, false, now);
         boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, source.fill.read(now), source.crowding(now), 0.8, now)) {
+        if (full || source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
