--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -113,32 +113,20 @@
             return cache.standing == Standing.READY;
         }
 
-        private Settings.ColdStart start() {
-            return cache.tier == Tier.PARENT ? settings.parentStart() : settings.edgeStart();
-        }
-
-        /** The share of its capacity that a cache surely has; 1 once it is warm. */
-        double warmth(double now) {
-            Settings.ColdStart start = start();
-            if (cache.upSince == null || cache.tier == Tier.ORIGIN || start.warmAfter().isZero()) {
-                return 1;
-            }
-            double age = Math.max(0, now - seconds(cache.upSince));
-            return Math.min(1, start.from() + (1 - start.from()) * age / seconds(start.warmAfter()));
-        }
-
         /**
          * Whether a cold cache may get this much more work from this gateway. Each gateway keeps to its
          * share, so that all together stay under the multiple in any window: 0.4 of it flows in, 0.3 may
-         * wait. The allowance starts spent, at the cache's start as at this gateway's own, which has
-         * forgotten what it sent.
+         * wait, or one view where the share is less, so that a cache of many gateways does not starve. The
+         * allowance starts spent, at the cache's start as at this gateway's own, which has forgotten what
+         * it sent.
          */
         boolean bears(double work, double now) {
-            double warmth = warmth(now);
-            if (warmth >= 1) {
+            Settings.ColdStart start = cache.tier == Tier.PARENT ? settings.parentStart() : settings.edgeStart();
+            double age = cache.upSince == null ? 1e9 : Math.max(0, now - seconds(cache.upSince));
+            if (cache.tier == Tier.ORIGIN || age >= seconds(start.warmAfter())) {
                 return true;
             }
-            Settings.ColdStart start = start();
+            double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
             double rate = start.multiple() * warmth * cache.weight / sharers();
             allowance = Math.min(Math.max(work, 0.3 * rate * seconds(start.window())),
                     allowance + 0.4 * rate * (now - allowanceAt));
@@ -238,7 +226,7 @@
         double heldAt = -1;
 
         Item(double kilobytes) {
-            this.kilobytes = kilobytes;
+            this.kilobytes = kilobytes > 0 ? kilobytes : 1;
         }
 
         /** Brings the popularity to the end of the last whole window. */
@@ -251,12 +239,8 @@
             }
         }
 
-        double bytes() {
-            return kilobytes > 0 ? kilobytes : 1;
-        }
-
         double density() {
-            return popularity / bytes();
+            return popularity / kilobytes;
         }
     }
 
@@ -279,11 +263,11 @@
             item = new Item(view.kilobytes);
             item.window = (long) (now / WINDOW);
             table.put(key, item);
-            tableBytes += item.bytes();
+            tableBytes += item.kilobytes;
             if (table.size() > TABLE) {
                 Item out = table.remove(table.keySet().iterator().next());
-                hotBytes -= out.hot ? out.bytes() : 0;
-                tableBytes -= out.bytes();
+                hotBytes -= out.hot ? out.kilobytes : 0;
+                tableBytes -= out.kilobytes;
             }
         }
         item.roll((long) (now / WINDOW));
@@ -295,8 +279,8 @@
         long n = edges.stream().filter(Node::ready).count();
         boolean passes = n > 1 && settings.siblings() && marginalSamples >= 50 && near < far
                 && item.density() > marginal * (n * far - (n - 1) * near) / near;
-        boolean hot = passes && (item.hot || (hotBytes + item.bytes()) * n <= 0.5 * tableBytes);
-        hotBytes += hot == item.hot ? 0 : hot ? item.bytes() : -item.bytes();
+        boolean hot = passes && (item.hot || (hotBytes + item.kilobytes) * n <= 0.5 * tableBytes);
+        hotBytes += hot == item.hot ? 0 : hot ? item.kilobytes : -item.kilobytes;
         item.hot = hot;
         return hot;
     }
@@ -507,9 +491,7 @@
         ended.add(1, now);
         switch (outcome.result()) {
             case HONOURED -> {
-                boolean slow = node.cache.tier == Tier.EDGE && source == node && view.profile.kept()
-                        && seconds(outcome.took()) > 2 * work(view) * node.crowding(now) + 3 * near + 0.05;
-                node.judge(slow ? 0.5 : -1, now);
+                node.judge(-1, now);
                 if (source == node && node.cache.tier == Tier.EDGE) {
                     double stretch = (seconds(outcome.took()) - near) / work(view) / Math.max(1, node.busy(now));
                     node.slowness.toward(Math.min(10, stretch), 0.15, now);
@@ -556,9 +538,7 @@
             double first = outcome.sourceWait() == null ? wait : seconds(outcome.sourceWait());
             if (source.cache.tier == Tier.PARENT && !trip.onlyHeld) {
                 boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
-                for (Node origin : origins) {
-                    origin.judge(beyond ? -1 : -0.5, now);
-                }
+                origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
             }
             if (source.cache.tier == Tier.EDGE) {
                 near = toward(near, first);
@@ -659,12 +639,6 @@
                         ? edge : node;
             }
         }
-        // Guards against a slow cache: its objects go to the next one that has room.
-        if (node != null && node.slowness.read(now) > 1.3 && !lookedAt(view, node, node) && !roomy(view, node, now)) {
-            Node next = first(order, edge -> !failedAt(view, edge) && edge.usable(charge, now)
-                    && roomy(view, edge, now));
-            node = next != null ? next : node;
-        }
         if (node == null && settings.direct()) {
             return straightTrip(view, now);
         }
@@ -682,9 +656,11 @@
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        boolean slow = shut != null || !inTime(view, quickest(now), node.crowding(now), 1, now);
+        double crowded = node.crowding(now);
+        boolean slow = shut != null || parents.stream().noneMatch(parent -> parent.ready()
+                && inTime(view, parent.fillWait.read(now), crowded, 1, now));
         Node source = source(view, node, hot ? home : null, slow, now);
-        boolean late = slow || source != null && !inTime(view, source.fillWait.read(now), node.crowding(now), 1, now);
+        boolean late = slow || source != null && !inTime(view, source.fillWait.read(now), crowded, 1, now);
         if (source == null || source.cache.tier == Tier.EDGE) {
             return source == null ? null : edgeTrip(view, node, source, rank, true, now);
         }
@@ -694,9 +670,9 @@
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
-        double crowding = Math.max(node.crowding(now), linkCrowding(now));
-        boolean full = late ? fillsFull(0.4, now)
-                : !inTime(view, Math.min(far, source.fillWait.read(now)), crowding, 0.8, now) && fillsFull(0.3, now);
+        double crowding = Math.max(crowded, linkCrowding(now));
+        boolean full = late ? fillsOut(now) > 0.4
+                : !inTime(view, Math.min(far, source.fillWait.read(now)), crowding, 0.8, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
@@ -707,20 +683,16 @@
         return inTime(view, 0, crowding, crowding < 1.4 ? 1 : 0.45, now);
     }
 
-    private double fillPlaces() {
-        return edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
+    /** Fills out of all gateways and one more, in parts of what the location's edges can send at once. */
+    private double fillsOut(double now) {
+        return (fills.ofAll(settings.gatewaysInZone(), now) + 1)
+                / edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
     }
 
     /** How many times longer a fill takes on the location's link; untold, it is 0.45 of the edges' links. */
     private double linkCrowding(double now) {
-        boolean told = settings.linkIn() > 0 && settings.pace() > 0;
-        double places = told ? settings.linkIn() / settings.pace() : 0.45 * fillPlaces();
-        return (fills.ofAll(settings.gatewaysInZone(), now) + 1) / places;
-    }
-
-    /** Whether this gateway has its part of this share of the edges' transfers out as fills. */
-    private boolean fillsFull(double share, double now) {
-        return fills.ofAll(settings.gatewaysInZone(), now) >= share * fillPlaces();
+        return settings.linkIn() <= 0 || settings.pace() <= 0 ? fillsOut(now) / 0.45
+                : (fills.ofAll(settings.gatewaysInZone(), now) + 1) * settings.pace() / settings.linkIn();
     }
 
     private Trip edgeTrip(View view, Node node, Node source, int rank, boolean onlyHeld, double now) {
@@ -746,11 +718,6 @@
         return order;
     }
 
-    /** The least of the parents' present waits: only where even that is long, the tier above them is slow. */
-    private double quickest(double now) {
-        return parents.stream().filter(Node::ready).mapToDouble(p -> p.fillWait.read(now)).min().orElse(far);
-    }
-
     /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
     private Node source(View view, Node node, Node sibling, boolean slow, double now) {
         if (sibling != null && sibling != node && settings.siblings() && !askedToFill(view, sibling)) {
@@ -760,7 +727,8 @@
         Predicate<Node> quick = p -> inTime(view, p.fillWait.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
         // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
-        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now) && inTime(view, p.heldWait.read(now), 1, 0.7, now))) {
+        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now)
+                && inTime(view, p.heldWait.read(now), 1, 0.7, now))) {
             parent = first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
         }
         parent = parent != null ? parent : first(parents(view, true), fit);
@@ -771,7 +739,7 @@
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
         Node source = source(view, null, null, false, now);
-        boolean full = fillsFull(0.6, now) && edges.stream().anyMatch(Node::ready);
+        boolean full = fillsOut(now) > 0.6 && edges.stream().anyMatch(Node::ready);
         if (full || source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
             return null;
         }
