--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -298,20 +298,16 @@
         return mean + 0.05 * (Math.max(0.0005, Math.min(sample, 4 * mean)) - mean);
     }
 
-    private final Map<Profile, double[]> sendingTimes = new IdentityHashMap<>();
+    private final Map<Profile, Fading> sendingTimes = new IdentityHashMap<>();
 
-    /** The sum of a profile's sending times and their count; the agreed time counts as the first ten. */
-    private double[] sendingTimes(Profile profile) {
-        return sendingTimes.computeIfAbsent(profile, p -> new double[] {10 * seconds(p.agreedTime()), 10});
-    }
-
-    private double meanWork(Profile profile) {
-        return sendingTimes(profile)[0] / sendingTimes(profile)[1];
+    /** The mean of a profile's latest hundred sending times or so; it starts at the agreed time. */
+    private Fading sendingTime(Profile profile) {
+        return sendingTimes.computeIfAbsent(profile, p -> new Fading(1e9, seconds(p.agreedTime())));
     }
 
     private double work(View view) {
         return view.kilobytes > 0 && settings.pace() > 0 ? view.kilobytes / settings.pace()
-                : meanWork(view.profile);
+                : sendingTime(view.profile).value;
     }
 
     private double agreed(View view) {
@@ -401,8 +397,7 @@
     public Answer place(View view, Duration at) {
         double now = seconds(at);
         if (view.trips.isEmpty()) {
-            sendingTimes(view.profile)[0] += work(view);
-            sendingTimes(view.profile)[1]++;
+            sendingTime(view.profile).toward(work(view), 0.02, now);
             if (view.profile.kept()) {
                 item(view, now).count++;
             }
@@ -591,7 +586,7 @@
 
     /** What a trip may cost a cold cache: the view's own sending time, at least its profile's mean. */
     private double charge(View view) {
-        return Math.max(work(view), meanWork(view.profile));
+        return Math.max(work(view), sendingTime(view.profile).value);
     }
 
     /** Whether a trip of this view went wrong by this cache's fault, or is still out there. */
@@ -645,44 +640,42 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        if (node == null || !roomy(view, node, now)) {
+        // Early refusal at a crowded cache spares it most for small objects, which earn most for their time.
+        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.4 ? 1 : 0.45, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
-        Node kept = node;
+        Node chosen = node;
         if (!lookedAt(view, node, node)) {
             return edgeTrip(view, node, node, rank, false, now);
         }
+        if (hot && home != null && home != node && !askedToFill(view, home)) {
+            return edgeTrip(view, node, home, rank, true, now);
+        }
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
         double crowded = node.crowding(now);
         boolean slow = shut != null || parents.stream().noneMatch(parent -> parent.ready()
                 && inTime(view, parent.fillWait.read(now), crowded, 1, now));
-        Node source = source(view, node, hot ? home : null, slow, now);
+        Node source = source(view, slow, now);
         boolean late = slow || source != null && !inTime(view, source.fillWait.read(now), crowded, 1, now);
-        if (source == null || source.cache.tier == Tier.EDGE) {
-            return source == null ? null : edgeTrip(view, node, source, rank, true, now);
+        if (source == null) {
+            return null;
         }
         long asked = view.trips.stream().filter(t -> t.onlyHeld).count();
         Node holder = !late || asked >= 3 ? null : first(parents(view, false), parent -> !askedToFill(view, parent)
-                && !lookedAt(view, kept, parent) && (parent == source || parent.usable(charge, now)));
+                && !lookedAt(view, chosen, parent) && (parent == source || parent.usable(charge, now)));
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
         double crowding = Math.max(crowded, linkCrowding(now));
-        boolean full = late ? fillsOut(now) > 0.4
+        boolean full = late ? fillsOut(now) > 0.55
                 : !inTime(view, Math.min(far, source.fillWait.read(now)), crowding, 0.8, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
                 : edgeTrip(view, node, source, rank, false, now);
     }
 
-    /** Whether a cache would send this view in time: in all of it where it has room, else in 0.45 of it. */
-    private boolean roomy(View view, Node node, double now) {
-        double crowding = node.crowding(now);
-        return inTime(view, 0, crowding, crowding < 1.4 ? 1 : 0.45, now);
-    }
-
     /** Fills out of all gateways and one more, in parts of what the location's edges can send at once. */
     private double fillsOut(double now) {
         return (fills.ofAll(settings.gatewaysInZone(), now) + 1)
@@ -718,11 +711,8 @@
         return order;
     }
 
-    /** A miss is filled from a sibling that should hold it, else the hashed parent, else the origin. */
-    private Node source(View view, Node node, Node sibling, boolean slow, double now) {
-        if (sibling != null && sibling != node && settings.siblings() && !askedToFill(view, sibling)) {
-            return sibling;
-        }
+    /** A miss is filled from the hashed parent, if that is quick enough just now, else from the origin. */
+    private Node source(View view, boolean slow, double now) {
         Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
         Predicate<Node> quick = p -> inTime(view, p.fillWait.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
@@ -738,8 +728,8 @@
 
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
-        Node source = source(view, null, null, false, now);
-        boolean full = fillsOut(now) > 0.6 && edges.stream().anyMatch(Node::ready);
+        Node source = source(view, false, now);
+        boolean full = fillsOut(now) > 1 && edges.stream().anyMatch(Node::ready);
         if (full || source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
             return null;
         }
@@ -756,7 +746,7 @@
         }
         Node node = edges.stream().filter(edge -> edge.usable(charge(view), now) && !failedAt(view, edge)
                 && inGroup(view, edge)).min(Comparator.comparingDouble(e -> e.busy(now))).orElse(null);
-        Node source = origin != null ? origin : source(view, null, null, false, now);
+        Node source = origin != null ? origin : source(view, false, now);
         return node == null || source == null ? null
                 : new Trip(node.cache, source.cache, 0, null, false, false, due(view, node, now));
     }
