--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -29,11 +29,9 @@
 
 /**
  * All decisions of one gateway. The host makes one Brain a gateway from its settings and calls it through the
- * interface tamarindroute.decision.Decisions, where the questions and the plain values of the answers are
- * defined: place (a view came, or a wait is over), after (a trip came back), patience (how long to wait), and
- * the tellings. The ordinary path is the collaborative caching of docs/design.md: popularity, density, the
- * marginal and the ratio test make an object hot; hot objects are spread over the location's edges, the
- * others keep one hashed cache.
+ * interface tamarindroute.decision.Decisions, where the three questions, the tellings and their plain values
+ * are defined. The ordinary path is the collaborative caching of docs/design.md: the ratio test makes an
+ * object hot; hot objects are spread over the location's edges, the others keep one hashed cache.
  */
 public final class Brain implements Decisions {
 
@@ -93,7 +91,7 @@
     private final class Node {
         final Cache cache;
         Duration upSince;
-        /** The mean over 3 s evens out some tens of views; the waits and the slowness are forgotten in 10 s. */
+        /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
         final Fading inHand = new Fading(3, 0);
         final Fading fillWait = new Fading(10, 0);
         final Fading heldWait = new Fading(10, 0);
@@ -114,14 +112,14 @@
         }
 
         /**
-         * Whether a cold cache may get this much more work from this gateway. Each gateway keeps to its
-         * share, so that all together stay under the multiple in any window: 0.4 of it flows in, 0.3 may
-         * wait, or one view where the share is less, so that a cache of many gateways does not starve. The
-         * allowance starts spent, at the cache's start as at this gateway's own, which has forgotten what
-         * it sent.
+         * Whether a cold cache may get this much more work from this gateway. Each keeps to its share, so
+         * that all together stay under the multiple in any window: 0.4 of it flows in, 0.3 may wait, or one
+         * view where that is less, lest a cache of many gateways starve. The allowance starts spent, at the
+         * cache's start as at this gateway's own, which has forgotten what it sent.
          */
         boolean bears(double work, double now) {
-            Settings.ColdStart start = cache.tier == Tier.PARENT ? settings.parentStart() : settings.edgeStart();
+            boolean parent = cache.tier == Tier.PARENT;
+            Settings.ColdStart start = parent ? settings.parentStart() : settings.edgeStart();
             double age = cache.upSince == null ? 1e9 : Math.max(0, now - seconds(cache.upSince));
             if (cache.tier == Tier.ORIGIN || age >= seconds(start.warmAfter())) {
                 return true;
@@ -163,7 +161,7 @@
             return cache.tier == Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
         }
 
-        /** How many times longer than alone a transfer takes there: by its crowd, and beyond it by its hits. */
+        /** How many times longer than alone a transfer takes there: by its crowd and its hits beyond that. */
         double crowding(double now) {
             return Math.max(1, busy(now)) * Math.max(1, slowness.read(now));
         }
@@ -300,7 +298,7 @@
 
     private final Map<Profile, Fading> sendingTimes = new IdentityHashMap<>();
 
-    /** The mean of a profile's latest hundred sending times or so; it starts at the agreed time. */
+    /** A slow mean of a profile's sending times; it starts at the agreed time. */
     private Fading sendingTime(Profile profile) {
         return sendingTimes.computeIfAbsent(profile, p -> new Fading(1e9, seconds(p.agreedTime())));
     }
@@ -314,24 +312,19 @@
         return seconds(view.arrived.plus(view.profile.agreedTime())) + view.profile.stretch() * work(view);
     }
 
-    private final Map<Long, Double> purgedObjects = new LinkedHashMap<>();
-    private final Map<Integer, Double> purgedGroups = new LinkedHashMap<>();
+    /** When objects (by a Long) and groups (by an Integer) were last purged. */
+    private final Map<Object, Double> purges = new LinkedHashMap<>();
 
     @Override
     public void purged(Purge purge, Duration now) {
-        double made = seconds(purge.made());
-        if (purge.object() == null) {
-            purgedGroups.merge(purge.group(), made, Math::max);
-        } else {
-            purgedObjects.values().removeIf(old -> seconds(now) - old > purgesBind());
-            purgedObjects.merge(purge.object(), made, Math::max);
-        }
+        purges.values().removeIf(made -> seconds(now) - made > purgesBind());
+        Object purged = purge.object() == null ? (Object) purge.group() : purge.object();
+        purges.merge(purged, seconds(purge.made()), Math::max);
     }
 
     /** When this view's object was last purged; far in the past if it was not lately. */
     private double purgedAt(View view) {
-        return Math.max(purgedObjects.getOrDefault(view.object, -1e9),
-                purgedGroups.getOrDefault(view.group, -1e9));
+        return Math.max(purges.getOrDefault(view.object, -1e9), purges.getOrDefault(view.group, -1e9));
     }
 
     /** The oldest copy that will do, at the source too: none from before a purge or past its fresh time. */
@@ -383,15 +376,12 @@
     /** How many ways between hubs lie from this zone to a parent's. */
     private int hubsAway(Node parent) {
         List<Integer> hubOf = settings.hubOf();
-        if (settings.zone() >= hubOf.size()) {
-            return 0;
-        }
+        int hub = settings.zone() < hubOf.size() ? hubOf.get(settings.zone()) : parent.cache.zone;
         int ring = hubOf.stream().max(Integer::compare).orElse(0) + 1;
-        int steps = Math.abs(hubOf.get(settings.zone()) - parent.cache.zone) % ring;
+        int steps = Math.abs(hub - parent.cache.zone) % ring;
         return Math.min(steps, ring - steps);
     }
 
-    // ---- the three questions ------------------------------------------------------------------------------
 
     @Override
     public Answer place(View view, Duration at) {
@@ -442,18 +432,13 @@
         if (settings.secondCopies()) {
             return next(view, now) instanceof Trip further ? further : NOT_YET;
         }
-        boolean doubted = Math.max(node.doubt.read(now), source.doubt.read(now)) > 3;
-        return settings.recalls() && doubted ? new Answer.Recall(trip) : NOT_YET;
+        return settings.recalls() && Math.max(node.doubt.read(now), source.doubt.read(now)) > 3
+                ? new Answer.Recall(trip) : NOT_YET;
     }
 
     private final Fading ended = new Fading(3, 0);
     private final Fading swamped = new Fading(3, 0);
 
-    /** Overload as this gateway sees it: over a tenth of its latest trips were turned away. */
-    private boolean overload(double now) {
-        return swamped.read(now) > 1 + 0.1 * ended.read(now);
-    }
-
     /**
      * Puts a failure to the account of whoever caused it. The look that went first has just proved the cache,
      * so a fill's failure is its source's, unless sources are told of and this one was not; behind a parent
@@ -488,8 +473,8 @@
             case HONOURED -> {
                 node.judge(-1, now);
                 if (source == node && node.cache.tier == Tier.EDGE) {
-                    double stretch = (seconds(outcome.took()) - near) / work(view) / Math.max(1, node.busy(now));
-                    node.slowness.toward(Math.min(10, stretch), 0.15, now);
+                    double alone = work(view) * Math.max(1, node.busy(now));
+                    node.slowness.toward(Math.min(10, (seconds(outcome.took()) - near) / alone), 0.15, now);
                 }
                 if (view.profile.kept()) {
                     noteCopy(view, trip, node, source, now);
@@ -531,15 +516,13 @@
                 && outcome.detail() != Detail.OLD) {
             source.judge(-1, now);
             double first = outcome.sourceWait() == null ? wait : seconds(outcome.sourceWait());
-            if (source.cache.tier == Tier.PARENT && !trip.onlyHeld) {
-                boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
-                origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
-            }
             if (source.cache.tier == Tier.EDGE) {
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
                 source.waited(false, first, now);
+                boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
+                origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
             }
             if (trip.onlyHeld || outcome.detail() == Detail.FILLED && settings.tellsSources()) {
                 source.waited(true, first, now);
@@ -557,7 +540,6 @@
         fills.shift(look ? 0 : change, now);
     }
 
-    // ---- where to -----------------------------------------------------------------------------------------
 
     /** The next trip of a view, or its final answer. */
     private Answer next(View view, double now) {
@@ -573,11 +555,12 @@
         return trip;
     }
 
-    /** None under overload, else up to two; a leg after a proven miss is not counted. */
+    /** None while over a tenth of the latest were turned away, else two; legs after a miss don't count. */
     private boolean furtherAllowed(View view, double now) {
         long tries = view.trips.stream()
                 .filter(t -> t.outcome == null || t.outcome.result() != Result.MISSED).count();
-        return tries == 0 || tries <= (overload(now) ? 0 : 2);
+        boolean overload = swamped.read(now) > 1 + 0.1 * ended.read(now);
+        return tries == 0 || tries <= (overload ? 0 : 2);
     }
 
     private static Node first(List<Node> order, Predicate<Node> fit) {
@@ -640,7 +623,7 @@
         // Where nothing but caches judged bad is left, one of them is better than none.
         node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
-        // Early refusal at a crowded cache spares it most for small objects, which earn most for their time.
+        // Refused early, a crowded cache keeps its time for small objects, which earn most for it.
         if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.4 ? 1 : 0.45, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
@@ -664,8 +647,8 @@
             return null;
         }
         long asked = view.trips.stream().filter(t -> t.onlyHeld).count();
-        Node holder = !late || asked >= 3 ? null : first(parents(view, false), parent -> !askedToFill(view, parent)
-                && !lookedAt(view, chosen, parent) && (parent == source || parent.usable(charge, now)));
+        Node holder = !late || asked >= 3 ? null : first(parents(view, false), p -> !askedToFill(view, p)
+                && !lookedAt(view, chosen, p) && (p == source || p.usable(charge, now)));
         if (holder != null) {
             return edgeTrip(view, node, holder, rank, true, now);
         }
@@ -713,7 +696,8 @@
 
     /** A miss is filled from the hashed parent, if that is quick enough just now, else from the origin. */
     private Node source(View view, boolean slow, double now) {
-        Predicate<Node> fit = p -> !askedToFill(view, p) && (p.usable(charge(view), now) || p.trial(view, now));
+        Predicate<Node> fit = p -> !askedToFill(view, p)
+                && (p.usable(charge(view), now) || p.trial(view, now));
         Predicate<Node> quick = p -> inTime(view, p.fillWait.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
         // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
@@ -728,9 +712,9 @@
 
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
-        Node source = source(view, false, now);
-        boolean full = fillsOut(now) > 1 && edges.stream().anyMatch(Node::ready);
-        if (full || source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
+        Node source = fillsOut(now) > 1 && edges.stream().anyMatch(Node::ready) ? null
+                : source(view, false, now);
+        if (source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
             return null;
         }
         Node origin = first(origins, Node::ready);
@@ -766,19 +750,16 @@
 
     private static boolean inGroup(View view, Node node) {
         Trip ran = firstThatMayHaveRun(view);
-        return ran == null || switch (view.profile.group()) {
-            case ALL -> true;
-            case ZONE -> node.cache.zone == ran.cache.zone;
-            case CELL -> node.cache.cell == ran.cache.cell;
-        };
+        return ran == null || view.profile.group() == Profile.Group.ALL
+                || node.cache.zone == ran.cache.zone && view.profile.group() == Profile.Group.ZONE
+                || node.cache.cell == ran.cache.cell;
     }
 
     /** The final answer, at once; the advice is spread so that not all come back together. */
     private Answer giveUp(View view) {
         boolean harmless = view.profile.repeat() == Repeat.REISSUABLE || firstThatMayHaveRun(view) == null
                 || view.profile.repeat() == Repeat.NUMBERED && view.profile.group() == Profile.Group.ALL;
-        Duration longest = settings.longestComeBack();
-        return !harmless ? new Answer.Termination() : new Answer.Dismissal(longest == null ? null
-                : span(seconds(longest) * (0.5 + 0.5 * chance())));
+        return !harmless ? new Answer.Termination() : new Answer.Dismissal(settings.longestComeBack() == null
+                ? null : span(seconds(settings.longestComeBack()) * (0.5 + 0.5 * chance())));
     }
 }
