A cold cache gets its fill at once, without a look before it

Cause: a rolling release leaves whole locations cold; with dozens of gateways each one's part of a cold cache is under one view, and looks were charged like views.

--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -90,6 +90,7 @@
     /** What this gateway knows of one cache from its own trips. */
     private final class Node {
         final Cache cache;
+        final Settings.ColdStart start;
         Duration upSince;
         /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
         final Fading inHand = new Fading(3, 0);
@@ -105,6 +106,12 @@
 
         Node(Cache cache) {
             this.cache = cache;
+            this.start = cache.tier == Tier.PARENT ? settings.parentStart() : settings.edgeStart();
+        }
+
+        boolean cold(double now) {
+            return cache.upSince != null && cache.tier != Tier.ORIGIN
+                    && now < seconds(cache.upSince) + seconds(start.warmAfter());
         }
 
         boolean ready() {
@@ -118,12 +125,10 @@
          * cache's start as at this gateway's own, which has forgotten what it sent.
          */
         boolean bears(double work, double now) {
-            boolean parent = cache.tier == Tier.PARENT;
-            Settings.ColdStart start = parent ? settings.parentStart() : settings.edgeStart();
-            double age = cache.upSince == null ? 1e9 : Math.max(0, now - seconds(cache.upSince));
-            if (cache.tier == Tier.ORIGIN || age >= seconds(start.warmAfter())) {
+            if (!cold(now)) {
                 return true;
             }
+            double age = Math.max(0, now - seconds(cache.upSince));
             double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
             double rate = start.multiple() * warmth * cache.weight / sharers();
             allowance = Math.min(Math.max(work, 0.3 * rate * seconds(start.window())),
@@ -629,7 +634,8 @@
         }
         int rank = hot ? 2 : 1;
         Node chosen = node;
-        if (!lookedAt(view, node, node)) {
+        // A cold cache is empty, and a look would be counted against it as a whole view.
+        if (!lookedAt(view, node, node) && !node.cold(now)) {
             return edgeTrip(view, node, node, rank, false, now);
         }
         if (hot && home != null && home != node && !askedToFill(view, home)) {
