--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -91,6 +91,8 @@
     private final class Node {
         final Cache cache;
         final Settings.ColdStart start;
+        double told;
+        double toldAt = -9;
         Duration upSince;
         /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
         final Fading inHand = new Fading(3, 0);
@@ -168,7 +170,8 @@
 
         /** How many times longer than alone a transfer takes there: by its crowd and its hits beyond that. */
         double crowding(double now) {
-            return Math.max(1, busy(now)) * Math.max(1, slowness.read(now));
+            double crowd = now - toldAt < 2 && told < 0.7 ? 1 : Math.max(1, busy(now));
+            return crowd * Math.max(1, slowness.read(now));
         }
 
         /** A sample of a wait there; one alone does not make it slow. */
@@ -364,6 +367,11 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
+        Node node = nodes.get(cache);
+        if (node != null && !Double.isNaN(load.busy())) {
+            node.told = load.busy();
+            node.toldAt = seconds(now);
+        }
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
