Cold caches get more of their limit; a told load under 0.7 shows a cache with room

A cache whose report says under 0.7 of its cores busy is not crowded, whatever this gateway guesses from its own trips.

--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -91,14 +91,12 @@
     private final class Node {
         final Cache cache;
         final Settings.ColdStart start;
-        double told;
-        double toldAt = -9;
         Duration upSince;
         /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
         final Fading inHand = new Fading(3, 0);
         final Fading fillWait = new Fading(10, 0);
-        final Fading heldWait = new Fading(10, 0);
         final Fading slowness = new Fading(10, 1);
+        final Fading told = new Fading(4, 1);
         final Fading doubt = new Fading(20, 0);
         boolean barred;
         double triedAt;
@@ -121,10 +119,9 @@
         }
 
         /**
-         * Whether a cold cache may get this much more work from this gateway. Each keeps to its share, so
-         * that all together stay under the multiple in any window: 0.4 of it flows in, 0.3 may wait, or one
-         * view where that is less, lest a cache of many gateways starve. The allowance starts spent, at the
-         * cache's start as at this gateway's own, which has forgotten what it sent.
+         * Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
+         * multiple: 0.7 of it flows in, 0.4 may wait, or one view where that is less, lest a cache of many
+         * gateways starve. Spent at the cache's start as at this gateway's own, which forgot what it sent.
          */
         boolean bears(double work, double now) {
             if (!cold(now)) {
@@ -133,8 +130,8 @@
             double age = Math.max(0, now - seconds(cache.upSince));
             double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
             double rate = start.multiple() * warmth * cache.weight / sharers();
-            allowance = Math.min(Math.max(work, 0.3 * rate * seconds(start.window())),
-                    allowance + 0.4 * rate * (now - allowanceAt));
+            allowance = Math.min(Math.max(work, 0.4 * rate * seconds(start.window())),
+                    allowance + 0.7 * rate * (now - allowanceAt));
             allowanceAt = now;
             return allowance >= work;
         }
@@ -170,14 +167,13 @@
 
         /** How many times longer than alone a transfer takes there: by its crowd and its hits beyond that. */
         double crowding(double now) {
-            double crowd = now - toldAt < 2 && told < 0.7 ? 1 : Math.max(1, busy(now));
+            double crowd = told.read(now) < 0.7 ? 1 : Math.max(1, busy(now));
             return crowd * Math.max(1, slowness.read(now));
         }
 
         /** A sample of a wait there; one alone does not make it slow. */
-        void waited(boolean held, double sample, double now) {
-            Fading wait = held ? heldWait : fillWait;
-            wait.toward(Math.min(sample, 4 * Math.max(far, wait.read(now))), 0.2, now);
+        void waited(double sample, double now) {
+            fillWait.toward(Math.min(sample, 4 * Math.max(far, fillWait.read(now))), 0.2, now);
         }
 
         boolean usable(double work, double now) {
@@ -369,8 +365,7 @@
     public void loaded(Cache cache, Load load, Duration now) {
         Node node = nodes.get(cache);
         if (node != null && !Double.isNaN(load.busy())) {
-            node.told = load.busy();
-            node.toldAt = seconds(now);
+            node.told.toward(load.busy(), 1, seconds(now));
         }
     }
 
@@ -436,8 +431,8 @@
         Node node = nodes.get(trip.cache);
         Node source = nodes.get(trip.source);
         blame(trip, true, 0.5, now);
-        if (source != node) {
-            source.waited(trip.onlyHeld, now - seconds(trip.sent) - work(view), now);
+        if (source != node && !trip.onlyHeld) {
+            source.waited(now - seconds(trip.sent) - work(view), now);
         }
         if (now + 1.2 * work(view) > agreed(view) || !furtherAllowed(view, now) || !mayRun(view, now)) {
             return NOT_YET;
@@ -533,13 +528,10 @@
                 near = toward(near, first);
             } else if (!trip.onlyHeld) {
                 far = toward(far, first);
-                source.waited(false, first, now);
+                source.waited(first, now);
                 boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
                 origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
             }
-            if (trip.onlyHeld || outcome.detail() == Detail.FILLED && settings.tellsSources()) {
-                source.waited(true, first, now);
-            }
         }
         item.heldAt = atHome ? now : item.heldAt;
     }
@@ -714,11 +706,6 @@
                 && (p.usable(charge(view), now) || p.trial(view, now));
         Predicate<Node> quick = p -> inTime(view, p.fillWait.read(now), 1, 0.7, now);
         Node parent = first(parents(view, slow), fit.and(quick));
-        // Where parents are slow even with what they hold, and not by what is above them, they are passed by.
-        if (parent == null && parents.stream().noneMatch(p -> p.usable(charge(view), now)
-                && inTime(view, p.heldWait.read(now), 1, 0.7, now))) {
-            parent = first(origins, o -> o.usable(0, now) && !askedToFill(view, o) && quick.test(o));
-        }
         parent = parent != null ? parent : first(parents(view, true), fit);
         return parent != null ? parent : first(origins, o -> o.ready() && !askedToFill(view, o)
                 && (!o.barred || o.trial(view, now)));
