--- a/src/test/java/tamarindroute/Scenario.java
+++ b/src/test/java/tamarindroute/Scenario.java
@@ -12,6 +12,7 @@
 import tamarindroute.decision.Answer;
 import tamarindroute.decision.Cache;
 import tamarindroute.decision.Decisions;
+import tamarindroute.decision.Load;
 import tamarindroute.decision.Outcome;
 import tamarindroute.decision.Profile;
 import tamarindroute.decision.Purge;
@@ -65,15 +66,13 @@
             case "settings" -> settings = settings(facts);
             case "profile" -> profiles.put(words[1], profile(words[2], facts));
             case "cache" -> cache(words, facts);
-            case "list" -> {
-                brain = brain == null ? new Brain(settings) : brain;
+            case "list", "restart" -> {
+                brain = brain == null || words[0].equals("restart") ? new Brain(settings) : brain;
                 brain.listed(caches.values().stream().sorted(Comparator.comparingLong(c -> c.mark)).toList(),
                         now);
             }
-            case "restart" -> {
-                brain = null;
-                step("list");
-            }
+            case "load" -> brain.loaded(caches.get(words[1]),
+                    new Load(Double.NaN, whole(facts, "busy", 0) / 100.0, Double.NaN), now);
             case "at" -> now = millis(words[1]);
             case "later" -> now = now.plus(millis(words[1]));
             case "purge" -> brain.purged(new Purge(
