--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -364,7 +364,7 @@
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
         Node node = nodes.get(cache);
-        if (node != null && !Double.isNaN(load.busy())) {
+        if (node != null) {
             node.told.toward(load.busy(), 1, seconds(now));
         }
     }
--- a/src/main/java/tamarindroute/decision/Load.java
+++ b/src/main/java/tamarindroute/decision/Load.java
@@ -1,4 +1,4 @@
 package tamarindroute.decision;
 
-/** A cache's own word on its load; NaN where it is not told. */
-public record Load(double inHand, double busy, double linkUse) { }
+/** A cache's own word on its load: the part of its cores that is busy. */
+public record Load(double busy) { }
--- a/src/main/java/tamarindroute/wirehost/Gateway.java
+++ b/src/main/java/tamarindroute/wirehost/Gateway.java
@@ -252,20 +252,10 @@
 
     private void report(Cache cache, ByteBuffer record, int at, Duration now) {
         int count = Math.min(record.get(at), reportFields.size());
-        double inHand = Double.NaN;
-        double busy = Double.NaN;
-        double linkUse = Double.NaN;
         for (int i = 0; i < count; i++) {
-            double value = record.getFloat(at + 1 + 4 * i);
-            switch (reportFields.get(i)) {
-                case "outstanding" -> inHand = value;
-                case "utilization" -> busy = value;
-                case "x1" -> linkUse = value;
-                default -> { }
+            if (reportFields.get(i).equals("utilization")) {
+                decisions.loaded(cache, new Load(record.getFloat(at + 1 + 4 * i)), now);
             }
         }
-        if (count > 0) {
-            decisions.loaded(cache, new Load(inHand, busy, linkUse), now);
-        }
     }
 }
--- a/src/test/java/tamarindroute/Scenario.java
+++ b/src/test/java/tamarindroute/Scenario.java
@@ -72,7 +72,7 @@
                         now);
             }
             case "load" -> brain.loaded(caches.get(words[1]),
-                    new Load(Double.NaN, whole(facts, "busy", 0) / 100.0, Double.NaN), now);
+                    new Load(whole(facts, "busy", 0) / 100.0), now);
             case "at" -> now = millis(words[1]);
             case "later" -> now = now.plus(millis(words[1]));
             case "purge" -> brain.purged(new Purge(
