--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -752,8 +752,8 @@
     private static boolean inGroup(View view, Node node) {
         Trip ran = firstThatMayHaveRun(view);
         return ran == null || view.profile.group() == Profile.Group.ALL
-                || node.cache.zone == ran.cache.zone && view.profile.group() == Profile.Group.ZONE
-                || node.cache.cell == ran.cache.cell;
+                || (view.profile.group() == Profile.Group.ZONE ? node.cache.zone == ran.cache.zone
+                : node.cache.cell == ran.cache.cell);
     }
 
     /** The final answer, at once; the advice is spread so that not all come back together. */
