The edges' links are summed when the list changes; crowding is read once a choice

From a last reading of the change: the sum over the edges stood on the path of every view, the fills out were worked out in two places, a cache's crowding three times.

--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -40,6 +40,7 @@
     private final Settings settings;
     private final Map<Cache, Node> nodes = new IdentityHashMap<>();
     private List<Node> edges = List.of();
+    private double edgePlaces;
     private List<Node> parents = List.of();
     private List<Node> origins = List.of();
     private long draws;
@@ -357,6 +358,7 @@
         }
         edges = caches.stream().filter(c -> c.tier == Tier.EDGE && c.zone == settings.zone())
                 .map(nodes::get).toList();
+        edgePlaces = edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
         parents = caches.stream().filter(c -> c.tier == Tier.PARENT).map(nodes::get).toList();
         origins = caches.stream().filter(c -> c.tier == Tier.ORIGIN).map(nodes::get).toList();
     }
@@ -545,7 +547,6 @@
         fills.shift(look ? 0 : change, now);
     }
 
-
     /** The next trip of a view, or its final answer. */
     private Answer next(View view, double now) {
         Trip trip = !furtherAllowed(view, now) || view.trips.size() >= settings.mostTrips()
@@ -626,55 +627,53 @@
             return straightTrip(view, now);
         }
         // Where nothing but caches judged bad is left, one of them is better than none.
-        node = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
+        Node chosen = node != null ? node : first(order, edge -> edge.ready() && edge.bears(charge, now)
                 && !failedAt(view, edge));
         // Refused early, a crowded cache keeps its time for small objects, which earn most for it.
-        if (node == null || !inTime(view, 0, node.crowding(now), node.crowding(now) < 1.4 ? 1 : 0.45, now)) {
+        double crowded = chosen == null ? 0 : chosen.crowding(now);
+        if (chosen == null || !inTime(view, 0, crowded, crowded < 1.4 ? 1 : 0.45, now)) {
             return settings.direct() && view.trips.isEmpty() ? straightTrip(view, now) : null;
         }
         int rank = hot ? 2 : 1;
-        Node chosen = node;
         // A cold cache is empty, and a look would be counted against it as a whole view.
-        if (!lookedAt(view, node, node) && !node.cold(now)) {
-            return edgeTrip(view, node, node, rank, false, now);
+        if (!lookedAt(view, chosen, chosen) && !chosen.cold(now)) {
+            return edgeTrip(view, chosen, chosen, rank, false, now);
         }
-        if (hot && home != null && home != node && !askedToFill(view, home)) {
-            return edgeTrip(view, node, home, rank, true, now);
+        if (hot && home != null && home != chosen && !askedToFill(view, home)) {
+            return edgeTrip(view, chosen, home, rank, true, now);
         }
         // Guards against a slow tier above: views that wait for it must not take the places of those that
         // caches could answer at once, nor press it on. What a parent holds still comes quickly: that first.
         Node shut = first(origins, origin -> origin.barred);
-        double crowded = node.crowding(now);
         boolean slow = shut != null || parents.stream().noneMatch(parent -> parent.ready()
                 && inTime(view, parent.fillWait.read(now), crowded, 1, now));
         Node source = source(view, slow, now);
-        boolean late = slow || source != null && !inTime(view, source.fillWait.read(now), crowded, 1, now);
         if (source == null) {
             return null;
         }
+        boolean late = slow || !inTime(view, source.fillWait.read(now), crowded, 1, now);
         long asked = view.trips.stream().filter(t -> t.onlyHeld).count();
         Node holder = !late || asked >= 3 ? null : first(parents(view, false), p -> !askedToFill(view, p)
                 && !lookedAt(view, chosen, p) && (p == source || p.usable(charge, now)));
         if (holder != null) {
-            return edgeTrip(view, node, holder, rank, true, now);
+            return edgeTrip(view, chosen, holder, rank, true, now);
         }
         double crowding = Math.max(crowded, linkCrowding(now));
-        boolean full = late ? fillsOut(now) > 0.55
+        boolean full = late ? fillsOut(now) > 0.55 * edgePlaces
                 : !inTime(view, Math.min(far, source.fillWait.read(now)), crowding, 0.8, now);
         return full || shut != null && shut != source && !shut.trial(view, now) ? null
-                : edgeTrip(view, node, source, rank, false, now);
+                : edgeTrip(view, chosen, source, rank, false, now);
     }
 
-    /** Fills out of all gateways and one more, in parts of what the location's edges can send at once. */
+    /** The fills that all gateways of the location have out, and one more. */
     private double fillsOut(double now) {
-        return (fills.ofAll(settings.gatewaysInZone(), now) + 1)
-                / edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
+        return fills.ofAll(settings.gatewaysInZone(), now) + 1;
     }
 
     /** How many times longer a fill takes on the location's link; untold, it is 0.45 of the edges' links. */
     private double linkCrowding(double now) {
-        return settings.linkIn() <= 0 || settings.pace() <= 0 ? fillsOut(now) / 0.45
-                : (fills.ofAll(settings.gatewaysInZone(), now) + 1) * settings.pace() / settings.linkIn();
+        boolean told = settings.linkIn() > 0 && settings.pace() > 0;
+        return fillsOut(now) / (told ? settings.linkIn() / settings.pace() : 0.45 * edgePlaces);
     }
 
     private Trip edgeTrip(View view, Node node, Node source, int rank, boolean onlyHeld, double now) {
@@ -713,7 +712,7 @@
 
     /** Past the edges, where that is allowed and none of them can be used, or the chosen one is crowded. */
     private Trip straightTrip(View view, double now) {
-        Node source = fillsOut(now) > 1 && edges.stream().anyMatch(Node::ready) ? null
+        Node source = fillsOut(now) > edgePlaces && edges.stream().anyMatch(Node::ready) ? null
                 : source(view, false, now);
         if (source == null || !inTime(view, source.fillWait.read(now), source.crowding(now), 0.8, now)) {
             return null;
