SIGHUP reads the configuration again and moves the control feed

The Java machine's own handler ends the process; nothing in the program handled the signal (Gateway.start installed none). Now the handler is set before the first reading; a new feed's address is taken up from the last number with the old connection closed at once; what cannot change in service is named in one line; a bad file leaves the old one. A silent feed is given up after 3.5 s instead of 4 s, well before what it missed counts as told.

Test: onHangUpTheFeedIsTakenUpElsewhereAndNoEventIsMissed (the process ends without the change).

--- a/src/main/java/tamarindroute/gateway/Config.java
+++ b/src/main/java/tamarindroute/gateway/Config.java
@@ -10,13 +10,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32;
 import tamarindroute.settings.MalformedSettingsException;
 import tamarindroute.settings.SettingsReader;
 
 /**
- * Owns the reading of the configuration file, once. It must never keep what nobody reads, nor let a file that
+ * Owns the reading of the configuration file. It must never keep what nobody reads, nor let a file that
  * cannot be used pass for one that can.
  */
 record Config(InetSocketAddress listen, InetSocketAddress feed, long seed, long memory, int descriptors,
@@ -48,6 +50,15 @@
         }
     }
 
+    /** What a gateway cannot change in service, of what the other says differently. */
+    List<String> differsIn(Config other) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("listen", listen.equals(other.listen));
+        same.put("limits", memory == other.memory && descriptors == other.descriptors);
+        same.put("settings", settings.equals(other.settings));
+        return same.entrySet().stream().filter(part -> !part.getValue()).map(Map.Entry::getKey).toList();
+    }
+
     /** HOST:PORT, the host a number, for there are no names to be looked up. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/src/main/java/tamarindroute/gateway/Gateway.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import sun.misc.Signal;
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Settings;
 import tamarindroute.log.Log;
@@ -14,8 +17,8 @@
 import tamarindroute.settings.SettingsReader;
 
 /**
- * Owns one gateway's life: its start from the configuration, the wiring of the stages, readiness, and the way
- * out on SIGTERM. It must never take part in a view's way.
+ * Owns one gateway's life: its start from the configuration, the wiring of the stages, readiness, the reading of
+ * a new configuration on SIGHUP, and the way out on SIGTERM. It must never take part in a view's way.
  */
 public final class Gateway {
 
@@ -30,6 +33,7 @@
     private final Config config;
     private final Sockets sockets;
     private final Chain chain;
+    private final Feed feed;
     private final WarmUp warmUp;
 
     private Gateway(Config config, Function<Settings, Decisions> module) throws IOException {
@@ -41,6 +45,7 @@
                 settings.keepIdle());
         Roster.Lines lines = (id, address) -> new CacheLine(sockets, clock, id, address, limits);
         chain = chain(module, pool, lines);
+        feed = new Feed(sockets, clock, config.feed(), chain.roster());
         warmUp = new WarmUp(clock, sockets, config, chain(module, pool,
                 (id, address) -> lines.make(id, config.listen())), this::warm);
         pool.whenRoom(() -> clock.handOver(chain::room));
@@ -52,12 +57,33 @@
     }
 
     /** Starts a gateway from its configuration file; returns at once, the rest goes on in threads of its own. */
-    public static void start(String path, Function<Settings, Decisions> module) throws IOException {
+    public static synchronized void start(String path, Function<Settings, Decisions> module) throws IOException {
+        // SIGHUP would end the process until it has a handler: this goes before all else.
+        AtomicReference<Gateway> started = new AtomicReference<>();
+        Signal.handle(new Signal("HUP"), signal -> reread(path, started));
         Gateway gateway = new Gateway(Config.read(path), module);
         gateway.clock.handOver(gateway::open);
+        started.set(gateway);
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
     }
 
+    /**
+     * On SIGHUP, on a thread of the signal's: reads the configuration again, after the start and one reading at a
+     * time. A new feed is taken up; all else holds until the next start, since sizes are derived from it once.
+     */
+    private static synchronized void reread(String path, AtomicReference<Gateway> started) {
+        Gateway gateway = started.get();
+        try {
+            Config told = Config.read(path);
+            List<String> later = gateway.config.differsIn(told);
+            Log.line("config", "read again, feed " + told.feed()
+                    + (later.isEmpty() ? "" : "; not before the next start: " + String.join(", ", later)));
+            gateway.clock.handOver(() -> gateway.feed.move(told.feed()));
+        } catch (IOException e) {
+            Log.line("config-unusable", "the old one holds: " + e.getMessage());
+        }
+    }
+
     private void open() {
         try {
             chain.roster().read(config.known());
@@ -71,7 +97,7 @@
             System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
-        new Feed(sockets, clock, config.feed(), chain.roster()).start();
+        feed.start();
         warmUp.start();
     }
 
--- a/src/main/java/tamarindroute/net/Feed.java
+++ b/src/main/java/tamarindroute/net/Feed.java
@@ -26,14 +26,14 @@
 
     /** What is told late counts as told after 7 s; a silent connection is noticed well before. */
     private static final Duration WAIT = Duration.ofMillis(2500);
-    private static final Duration PATIENCE = Duration.ofMillis(4000);
+    private static final Duration PATIENCE = Duration.ofMillis(3500);
     /** A broken feed is asked again soon, and not in a rush. */
     private static final Duration PAUSE = Duration.ofMillis(300);
     private static final int LONGEST_BODY = 4 * 1024 * 1024;
 
     private final Sockets sockets;
     private final Timers timers;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Reader events;
     private Connection connection;
     private HttpReader answer;
@@ -52,6 +52,14 @@
         patience = timers.after(PATIENCE, () -> connection.close(Ending.NOT_UP_IN_TIME, false));
     }
 
+    /** From now on the feed is elsewhere; its numbers go on, so what is asked for there is what comes next. */
+    public void move(InetSocketAddress elsewhere) {
+        if (!elsewhere.equals(address)) {
+            address = elsewhere;
+            connection.close(Ending.LET_GO, false);
+        }
+    }
+
     private void ask() {
         patience.run();
         patience = timers.after(PATIENCE, () -> connection.close(Ending.NOT_UP_IN_TIME, false));
--- a/src/main/java/tamarindroute/settings/SettingsReader.java
+++ b/src/main/java/tamarindroute/settings/SettingsReader.java
@@ -36,6 +36,17 @@
         return new SettingsReader(values);
     }
 
+    /** Whether the other one was told the same. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SettingsReader reader && values.equals(reader.values);
+    }
+
+    @Override
+    public int hashCode() {
+        return values.hashCode();
+    }
+
     /** A name or value as the lines spell it, where spaces and commas have another use. */
     public static String plain(String text) {
         return text.replace(' ', '_').replace(',', '_');
--- a/src/test/java/tamarindroute/gateway/GatewayIT.java
+++ b/src/test/java/tamarindroute/gateway/GatewayIT.java
@@ -446,6 +446,52 @@
         }
     }
 
+    private void hangUp() throws Exception {
+        assertThat(new ProcessBuilder("kill", "-HUP", String.valueOf(gateway.pid())).start().waitFor()).isZero();
+    }
+
+    private String logged(String text) throws Exception {
+        for (int i = 0; i < 500 && !Files.readString(folder.resolve("out.log")).contains(text); i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(Files.readString(folder.resolve("out.log"))).contains(text);
+        return text;
+    }
+
+    /** SIGHUP, twice: the feed at its new address goes on from the last number, and views in hand stay. */
+    @Test
+    void onHangUpTheFeedIsTakenUpElsewhereAndNoEventIsMissed() throws Exception {
+        feed.tell(EDGE.formatted("s-0000000f", 1, "gone"));
+        next(feed.asked, "GET /v1/events?SUB=2");
+        Path config = folder.resolve("config.json");
+        String old = Files.readString(config);
+        mode(Mode.LATE);
+        try (ToyServer.Client client = client(); ToyServer.Feed elsewhere = new ToyServer.Feed(0)) {
+            client.call("1", "clip", fields("5", 2000), "");
+            elsewhere.tell(EDGE.formatted("s-0000000f", 1, "gone"));
+            elsewhere.tell(EDGE.formatted("s-0000000a", first.port(), "draining"));
+            Files.writeString(config, old.replace("127.0.0.1:" + feed.port(), "127.0.0.1:" + elsewhere.port())
+                    .replace("\"sockets\"", "\"sockets\":512,\"former\""));
+            hangUp();
+            hangUp();
+            assertThat(next(elsewhere.asked, "GET")).startsWith("GET /v1/events?SUB=2");
+            next(elsewhere.asked, "GET /v1/events?SUB=3");
+            assertThat(word(client.read())).isEqualTo("ACK");
+            mode(Mode.SERVE);
+            first.seen.clear();
+            for (int tag = 2; tag <= 20; tag++) {
+                assertThat(word(ask(client, String.valueOf(tag), "e" + tag))).isEqualTo("ACK");
+            }
+            assertThat(first.seen).isEmpty();
+            logged("not before the next start: limits");
+            Files.writeString(config, old.substring(0, old.length() / 2));
+            hangUp();
+            logged("the old one holds");
+            assertThat(word(ask(client, "21", "f"))).isEqualTo("ACK");
+        }
+        assertThat(gateway.isAlive()).isTrue();
+    }
+
     @Test
     void onTermAllThatWasTakenIsAnsweredBeforeTheEnd() throws Exception {
         mode(Mode.LATE);
