Idle clients go for new ones, bad calls and stalled answers end early, gone caches forgotten

Now the client of no use for longest goes for a new one, silent ones first; silence and half requests end after 2 s; calls are read strictly (ids, keys, whole numbers, ranges, an open id), refused at once, and bound to 32 open ones; a spoilt answer in sound frames costs its trip alone; a stalled answer its connection; what waits for a connection to a gone cache is not written to its address's new owner; gone caches are forgotten by list and module; called-off timers and spare buffers are bounded; the way out on SIGTERM answers all in time.

Tried in vain: taking answers without a digest for spoilt.

--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.zip.CRC32;
 import tamarindroute.decision.Answer;
@@ -346,6 +347,7 @@
 
     @Override
     public void listed(List<Cache> caches, Duration now) {
+        nodes.keySet().retainAll(caches);
         for (Cache cache : caches) {
             Node node = nodes.computeIfAbsent(cache, Node::new);
             if (!Objects.equals(node.upSince, cache.upSince)) {
@@ -365,10 +367,7 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
-        Node node = nodes.get(cache);
-        if (node != null) {
-            node.told.toward(load.busy(), 1, seconds(now));
-        }
+        Optional.ofNullable(nodes.get(cache)).ifPresent(node -> node.told.toward(load.busy(), 1, seconds(now)));
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
--- a/src/main/java/tamarindroute/gateway/Admit.java
+++ b/src/main/java/tamarindroute/gateway/Admit.java
@@ -1,7 +1,9 @@
 package tamarindroute.gateway;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.decision.Profile;
 import tamarindroute.decision.View;
@@ -14,16 +16,28 @@
 /**
  * The second stage: makes a view in hand of a call, sets its cut-off, and turns away what cannot be one, at once
  * and harmlessly, since nothing has run. It must never turn away for any reason but bad fields, memory, or the
- * number of views in hand that the settings allow.
+ * number of views that the settings or the protocol allow.
  */
 final class Admit {
 
+    /** The protocol's figures: digits of ids and of keys, the last group. */
+    private static final int ID = 16;
+    private static final int KEY = 32;
+    private static final int LAST_GROUP = 255;
+    /** A part of a gigabyte is none: an answer has 240,000 bytes at most. */
+    private static final double MOST_KB = 1e6;
+    /** No client waits so many times the longest cut-off that the settings tell; it is a figure gone wrong. */
+    private static final int MUCH_LONGER = 20;
+
     private final Clock clock;
     private final Route route;
     private final Book book;
     private final List<String> names;
     private final List<Profile> profiles;
     private final int most;
+    private final double longestWait;
+    /** The views in hand by their ids. */
+    private final Map<String, Held> open = new HashMap<>();
     private volatile int inHand;
     private boolean ready;
 
@@ -34,6 +48,7 @@
         this.names = settings.profileNames();
         this.profiles = settings.profiles();
         this.most = settings.mostInHand();
+        this.longestWait = MUCH_LONGER * settings.longestCutOff().toMillis();
     }
 
     /** Whether clients may be sent here; what comes all the same is served. */
@@ -49,13 +64,15 @@
         return inHand;
     }
 
-    void call(TakeIn client, TakeIn.Call call) {
+    /** Takes a call, or turns it away; false where its fields could not be used. */
+    boolean call(TakeIn client, TakeIn.Call call, boolean expected) {
         Held held = null;
-        if (call.roomless() || inHand >= most) {
-            Log.line("no-room", inHand + " views in hand");
+        boolean room = !call.roomless() && open.size() < most;
+        if (!room) {
+            Log.line("no-room", open.size() + " views in hand");
         } else {
             try {
-                held = held(client, call);
+                held = expected ? held(client, call) : null;
             } catch (MalformedException e) {
                 Log.line("bad-fields", e.getMessage());
             }
@@ -63,42 +80,56 @@
         if (held == null) {
             call.body().forEach(IoBuffer::free);
             client.outlet.word(call.tag(), "NAK");
-            return;
+            return !room || !expected;
         }
         Held admitted = held;
         client.open.put(held.tag, held);
-        inHand++;
+        open.put(held.id, held);
+        inHand = open.size();
         held.cutOff = clock.after(held.left(clock.now()), () -> book.cutOff(admitted));
         route.place(held);
+        return true;
     }
 
+    /** Reads what a cache could use, and no more: what none could would end its connection, others' views too. */
     private Held held(TakeIn client, TakeIn.Call call) throws MalformedException {
         int profile = names.indexOf(SettingsReader.plain(call.profile()));
-        if (profile < 0) {
+        if (profile < 0 || call.profile().indexOf(',') >= 0) {
             throw new MalformedException("no such profile");
         }
         Fields fields = Fields.read(call.fields());
-        String id = fields.text("rid");
-        String object = fields.text("obj");
-        if (!isHex(id) || !isHex(object)) {
-            throw new MalformedException("no id or no object");
+        String id = hex(fields, "rid", ID);
+        String object = hex(fields, "obj", ID);
+        String key = hex(fields, "token", KEY);
+        String copy = hex(fields, "ver", ID);
+        if (id == null || object == null || fields.text("budget") == null) {
+            throw new MalformedException("no id, no object or no time to wait");
+        }
+        if (key == null && profiles.get(profile).repeat() == Profile.Repeat.NUMBERED) {
+            throw new MalformedException("no number in a numbered profile");
+        }
+        if (open.containsKey(id)) {
+            throw new MalformedException("an id that is open");
         }
-        if (fields.text("budget") == null) {
+        double budget = fields.number("budget", 0, longestWait);
+        if (budget == 0) {
             throw new MalformedException("no time to wait");
         }
-        // No client waits for a day; a time of thousands of years would not fit the clock.
-        double budget = Math.min(fields.number("budget", 0), 86_400_000);
         Duration arrived = client.outlet.connection.readAt();
         View view = new View(profiles.get(profile), Long.parseUnsignedLong(object, 16),
-                (int) fields.number("piece", 0), (int) fields.number("lot", 0), fields.number("mem", 0), arrived,
-                arrived.plusNanos((long) (budget * 1e6)));
-        return new Held(client, call, view, id, object, fields.text("token"), fields.text("ver"));
+                fields.whole("piece", Integer.MAX_VALUE), fields.whole("lot", LAST_GROUP),
+                fields.number("mem", 0, MOST_KB), arrived, arrived.plusNanos((long) (budget * 1e6)));
+        return new Held(client, call, view, id, object, key, copy);
     }
 
-    /** What the protocol calls 16 hex digits. */
-    private static boolean isHex(String text) {
-        return text != null && !text.isEmpty() && text.length() <= 16
-                && text.chars().allMatch(c -> Character.digit(c, 16) >= 0);
+    /** So many hexadecimal digits; null where the field is absent. */
+    private static String hex(Fields fields, String name, int digits) throws MalformedException {
+        String text = fields.text(name);
+        if (text != null && (text.length() != digits || !text.chars().allMatch(c -> Character.digit(c, 16) >= 0
+                && c < 128))) {
+            throw new MalformedException(name + " is not of " + digits + " hexadecimal digits");
+        }
+        return text;
     }
 
     /** The client waits no more: nothing is owed. */
@@ -106,9 +137,15 @@
         book.vanished(held);
     }
 
+    /** The end has come: whatever is in hand gets its final answer now. */
+    void endAll() {
+        List.copyOf(open.values()).forEach(book::cutOff);
+    }
+
     /** A view got its final answer, or wants none. */
     void done(Held held) {
         held.client.done(held);
-        inHand--;
+        open.remove(held.id);
+        inHand = open.size();
     }
 }
--- a/src/main/java/tamarindroute/gateway/Book.java
+++ b/src/main/java/tamarindroute/gateway/Book.java
@@ -28,6 +28,10 @@
             "src_lacks", Detail.SOURCE_LACKS, "no_slot", Detail.NO_ROOM_FOR_FILL,
             "origin_failed", Detail.ORIGIN_FAILED);
 
+    /** What a cache tells is in these bounds, or it is none: a wait in milliseconds, the part that is busy. */
+    private static final double LONGEST_TOLD = 1e6;
+    private static final double MOST_BUSY = 100;
+
     private final Clock clock;
     private final Decisions decisions;
     private final Route route;
@@ -50,7 +54,7 @@
         Duration wait = null;
         try {
             // Zero is no wait told, as on the simulator's wire.
-            double first = fields.number("first", 0);
+            double first = fields.number("first", 0, LONGEST_TOLD);
             wait = first == 0 ? null : Duration.ofNanos((long) (first * 1e6));
             report(out, fields);
         } catch (MalformedException e) {
@@ -68,7 +72,7 @@
         String report = fields.text("rep");
         if (report != null) {
             Fields values = Fields.read(report.replace(':', '=').replace(';', ','));
-            double busy = values.number("util", values.number("utilization", -1));
+            double busy = values.number("util", values.number("utilization", -1, MOST_BUSY), MOST_BUSY);
             if (busy >= 0) {
                 decisions.loaded(out.trip.cache, new Load(busy), clock.now());
             }
@@ -91,6 +95,7 @@
         }
         out.trip.outcome = new Outcome(result, detail, clock.now().minus(out.trip.sent), wait, closed);
         route.after(held, out.trip);
+        out.over();
         if (held.over && held.out.isEmpty()) {
             held.release();
         }
--- a/src/main/java/tamarindroute/gateway/Chain.java
+++ b/src/main/java/tamarindroute/gateway/Chain.java
@@ -16,10 +16,12 @@
     private final Roster roster;
     private final Relay relay;
     private final Admit admit;
+    private final Clock clock;
 
     Chain(SettingsReader settings, Decisions decisions, Clock clock, Pool pool, Roster.Lines lines)
             throws MalformedSettingsException {
         this.pool = pool;
+        this.clock = clock;
         roster = new Roster(settings, decisions, clock, lines);
         relay = new Relay(pool);
         Route route = new Route(decisions, clock);
@@ -35,7 +37,7 @@
 
     /** The first stage of a new client's connection. */
     TakeIn takeIn(Connection connection) {
-        return new TakeIn(admit, relay, pool, connection);
+        return new TakeIn(admit, relay, pool, clock, connection);
     }
 
     /** The pool has room again. */
@@ -47,6 +49,11 @@
         admit.ready(now);
     }
 
+    /** Answers all that is in hand. */
+    void endAll() {
+        admit.endAll();
+    }
+
     int inHand() {
         return admit.inHand();
     }
--- a/src/main/java/tamarindroute/gateway/Clock.java
+++ b/src/main/java/tamarindroute/gateway/Clock.java
@@ -30,10 +30,14 @@
         }
     }
 
+    /** So few timers that were called off are not worth looking for. */
+    private static final int FEW = 1000;
+
     private final Instant start = Instant.now();
     private final ConcurrentLinkedQueue<Runnable> handed = new ConcurrentLinkedQueue<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Thread owner = new Thread(this::run, "owner");
+    private int calledOff;
     private volatile boolean resting;
 
     Clock() {
@@ -58,12 +62,20 @@
         }
     }
 
-    /** A timer that is called off lets go of its task at once, and of its place when it would be due. */
+    /** A timer that is called off lets go of its task at once, and of its place when most of them are so. */
     @Override
     public Runnable after(Duration span, Runnable task) {
         Timer timer = new Timer(System.nanoTime() + Math.max(0, span.toNanos()), task);
         timers.add(timer);
-        return () -> timer.task = null;
+        return () -> {
+            if (timer.task != null) {
+                timer.task = null;
+                if (++calledOff > FEW && calledOff > timers.size() / 2) {
+                    timers.removeIf(t -> t.task == null);
+                    calledOff = 0;
+                }
+            }
+        };
     }
 
     private void run() {
@@ -72,7 +84,10 @@
             long left = next == null ? Long.MAX_VALUE : next.due - System.nanoTime();
             if (left <= 0) {
                 timers.poll();
-                guarded(next.task);
+                Runnable due = next.task;
+                next.task = null;
+                calledOff -= due == null ? 1 : 0;
+                guarded(due);
                 continue;
             }
             Runnable task = handed.poll();
--- a/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/src/main/java/tamarindroute/gateway/Gateway.java
@@ -26,7 +26,8 @@
     private static final Duration STILL_COMING = Duration.ofMillis(750);
     /** Connections to one cache: enough that a large answer does not stop the others, few enough to share. */
     private static final int FEW = 4;
-    /** Beside the longest cut-off, what SIGKILL leaves for the last answers. */
+    /** SIGKILL may come 0.7 s after the longest cut-off, counted as 3 s at most; all is answered before. */
+    private static final Duration LONGEST = Duration.ofSeconds(3);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(500);
 
     private final Clock clock = new Clock();
@@ -116,10 +117,12 @@
         clock.handOver(() -> chain.ready(false));
         try {
             Thread.sleep(STILL_COMING.toMillis());
-            Duration end = from.plus(config.settings().longestCutOff()).plus(LAST_ANSWERS);
+            Duration longest = config.settings().longestCutOff();
+            Duration end = from.plus(longest.compareTo(LONGEST) < 0 ? longest : LONGEST).plus(LAST_ANSWERS);
             while (clock.now().compareTo(end) < 0 && chain.inHand() > 0) {
                 Thread.sleep(20);
             }
+            clock.handOver(chain::endAll);
             // The last answers are with MINA's thread, which needs a moment to write them.
             Thread.sleep(50);
         } catch (InterruptedException | IOException e) {
--- a/src/main/java/tamarindroute/gateway/Roster.java
+++ b/src/main/java/tamarindroute/gateway/Roster.java
@@ -7,7 +7,6 @@
 import com.google.gson.JsonParser;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +18,7 @@
 import tamarindroute.decision.Cache;
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Purge;
+import tamarindroute.decision.Trip;
 import tamarindroute.log.Log;
 import tamarindroute.net.CacheLine;
 import tamarindroute.net.Feed;
@@ -44,14 +44,26 @@
     private final List<String> kinds;
     private final int parentKind;
     private final int originKind;
-    private final Map<String, Cache> caches = new HashMap<>();
-    private final Map<Cache, String> ids = new IdentityHashMap<>();
-    private final Map<Cache, CacheLine> lineOf = new IdentityHashMap<>();
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<Cache, Entry> entryOf = new IdentityHashMap<>();
     private long last;
     private boolean listed;
     private int gaps;
     private Runnable whenListed = () -> { };
 
+    /** A cache, its id and connections, and how many trips that are out name it. */
+    private static final class Entry {
+        final String id;
+        final Cache cache;
+        CacheLine line;
+        int out;
+
+        Entry(String id) {
+            this.id = id;
+            this.cache = new Cache(mark(id));
+        }
+    }
+
     Roster(SettingsReader settings, Decisions decisions, Clock clock, Lines lines)
             throws MalformedSettingsException {
         this.decisions = decisions;
@@ -64,11 +76,17 @@
     }
 
     String id(Cache cache) {
-        return ids.get(cache);
+        return entryOf.get(cache).id;
     }
 
     CacheLine line(Cache cache) {
-        return lineOf.get(cache);
+        return entryOf.get(cache).line;
+    }
+
+    /** A trip goes out, or has come back and been judged: a cache that is gone is forgotten when none is out. */
+    void out(Trip trip, int change) {
+        entryOf.get(trip.cache).out += change;
+        entryOf.get(trip.source).out += change;
     }
 
     /** Whether a whole list has come. */
@@ -83,7 +101,7 @@
 
     /** Closes the connections to all caches. */
     void letGo() {
-        lineOf.values().forEach(CacheLine::letGo);
+        entries.values().forEach(entry -> entry.line.letGo());
     }
 
     @Override
@@ -170,13 +188,17 @@
             }
         }
         if (full(members) || !listed) {
-            caches.forEach((id, cache) -> cache.standing = told.contains(id) ? cache.standing : Cache.Standing.GONE);
+            entries.forEach((id, entry) -> entry.cache.standing =
+                    told.contains(id) ? entry.cache.standing : Cache.Standing.GONE);
         }
-        caches.values().stream().filter(cache -> cache.standing == Cache.Standing.GONE)
-                .forEach(cache -> lineOf.get(cache).letGo());
-        List<Cache> all = new ArrayList<>(caches.values());
-        all.sort(Comparator.comparingLong((Cache cache) -> cache.mark).thenComparing(ids::get));
-        decisions.listed(all, clock.now());
+        decisions.listed(entries.values().stream()
+                .sorted(Comparator.comparingLong((Entry entry) -> entry.cache.mark).thenComparing(entry -> entry.id))
+                .map(entry -> entry.cache).toList(), clock.now());
+        // Told once as gone, it is forgotten, or the list would grow with each cache that was ever replaced.
+        entries.values().stream().filter(entry -> entry.cache.standing == Cache.Standing.GONE)
+                .forEach(entry -> entry.line.letGo());
+        entries.values().removeIf(entry -> entry.cache.standing == Cache.Standing.GONE && entry.out == 0);
+        entryOf.values().retainAll(entries.values());
         if (!listed) {
             listed = true;
             whenListed.run();
@@ -186,8 +208,9 @@
     /** Reads an entry whole before it changes anything; what a change leaves out stays as it was. */
     private void member(JsonObject entry) {
         String id = entry.get("id").getAsString();
-        Cache known = caches.get(id);
-        Cache cache = known == null ? new Cache(mark(id)) : known;
+        Entry known = entries.get(id);
+        Entry of = known == null ? new Entry(id) : known;
+        Cache cache = of.cache;
         Cache.Standing standing = switch (entry.get("state").getAsString()) {
             case "ready" -> Cache.Standing.READY;
             case "draining" -> Cache.Standing.DRAINING;
@@ -201,14 +224,14 @@
         Cache.Tier tier = kind < 0 ? cache.tier : kind == originKind ? Cache.Tier.ORIGIN
                 : kind == parentKind ? Cache.Tier.PARENT : Cache.Tier.EDGE;
         long up = entry.has("started_ms") ? entry.get("started_ms").getAsLong() : 0;
-        CacheLine line = lineOf.get(cache);
+        CacheLine line = of.line;
         InetSocketAddress address = entry.has("addr") ? Config.address(entry.get("addr").getAsString())
                 : line == null ? null : line.address();
         if (address == null) {
             throw new IllegalArgumentException("no address");
         }
-        caches.put(id, cache);
-        ids.put(cache, id);
+        entries.put(id, of);
+        entryOf.put(cache, of);
         cache.standing = standing;
         cache.zone = zone;
         cache.cell = cell;
@@ -221,7 +244,7 @@
             if (line != null) {
                 line.letGo();
             }
-            lineOf.put(cache, lines.make(id, address));
+            of.line = lines.make(id, address);
         }
     }
 
--- a/src/main/java/tamarindroute/gateway/Send.java
+++ b/src/main/java/tamarindroute/gateway/Send.java
@@ -47,6 +47,11 @@
             quit.run();
         }
 
+        /** It has come back, and the module knows. */
+        void over() {
+            roster.out(trip, -1);
+        }
+
         @Override
         public void answered(String answer, Fields told, int length) {
             word = answer;
@@ -77,6 +82,7 @@
     void go(Held held, Trip trip) {
         TripOut out = new TripOut(held, trip);
         held.out.add(out);
+        roster.out(trip, 1);
         Duration left = held.left(trip.sent);
         Fields fields = new Fields()
                 .with("lane", held.profileName)
--- a/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -1,6 +1,7 @@
 package tamarindroute.gateway;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -25,31 +26,71 @@
     /** A write brings 48,000 bytes at most. */
     private static final int LONGEST_BODY = 48 * 1024;
 
+    /** From a connection's start to its first request's end, and from a request's first byte to its last. */
+    static final Duration WHOLE_FRAME = Duration.ofMillis(2000);
+    /** A client sends its first request as soon as it is connected; this allows for a busy machine. */
+    private static final Duration FIRST_WORD = Duration.ofMillis(100);
+    /** The views open on a connection at once, by the protocol. */
+    private static final int MOST_OPEN = 32;
+    /** After so many unusable calls on one connection it is no client's, but costs work that others need. */
+    private static final int MOST_UNUSABLE = 64;
+
     /** A whole call, its body in the pool's buffers; roomless where there was none for the body. */
     record Call(String tag, String profile, String fields, ArrayDeque<IoBuffer> body, int bodyLength,
             boolean roomless) { }
 
     private final Admit admit;
     private final Pool pool;
+    private final Clock clock;
     final Relay.Outlet outlet;
     final Map<String, Held> open = new HashMap<>();
     private final RespReader reader = new RespReader(CALL_WORDS, LONGEST_WORD, LONGEST_BODY);
     private ArrayDeque<IoBuffer> body = new ArrayDeque<>();
     private boolean roomless;
     private boolean lastFrame;
+    /** When it was last of use; a client that has not asked yet is of use for a moment. */
+    private Duration usedAt;
+    private boolean asked;
+    private int unusable;
+    private Runnable patience;
 
-    TakeIn(Admit admit, Relay relay, Pool pool, Connection connection) {
+    TakeIn(Admit admit, Relay relay, Pool pool, Clock clock, Connection connection) {
         this.admit = admit;
         this.pool = pool;
+        this.clock = clock;
         this.outlet = relay.new Outlet(connection);
+        this.usedAt = clock.now();
+        this.patience = clock.after(WHOLE_FRAME, this::stalled);
+    }
+
+    /** Silence, half a request or a body without end: the connection goes, once the views open on it are over. */
+    private void stalled() {
+        Log.line("client-silent", asked ? "a request that was not made whole" : "no request at all");
+        inputClosed();
+    }
+
+    @Override
+    public Duration uselessSince() {
+        if (!open.isEmpty() || outlet.busy() || outlet.connection.waiting() > 0) {
+            return null;
+        }
+        // One that said nothing when it could have goes before any that asked: whoever uses it is not known.
+        return asked ? usedAt : clock.now().minus(usedAt).compareTo(FIRST_WORD) < 0 ? clock.now() : Duration.ZERO;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
+        if (lastFrame) {
+            bytes.position(bytes.limit());
+            return;
+        }
         try {
             while (true) {
                 switch (reader.next(bytes)) {
                     case MORE -> {
+                        if (patience == null && !reader.atRest()) {
+                            patience = clock.after(WHOLE_FRAME, this::stalled);
+                        }
                         return;
                     }
                     case HEAD -> roomless = false;
@@ -59,7 +100,15 @@
                             Connection.copy(reader.body(), pool, body);
                         }
                     }
-                    case END -> frame(reader.words());
+                    case END -> {
+                        asked = true;
+                        usedAt = outlet.connection.readAt();
+                        if (patience != null) {
+                            patience.run();
+                            patience = null;
+                        }
+                        frame(reader.words());
+                    }
                 }
             }
         } catch (MalformedException e) {
@@ -75,12 +124,14 @@
         String tag = words.get(1);
         switch (words.get(0)) {
             case "RPC.CALL" -> {
-                if (words.size() < CALL_WORDS || open.containsKey(tag)) {
+                if (!reader.hasBody() || open.containsKey(tag)) {
                     throw new MalformedException("a call without its words, or with a tag that is open");
                 }
                 Call call = new Call(tag, words.get(2), words.get(3), body, reader.bodyLength(), roomless);
                 body = new ArrayDeque<>();
-                admit.call(this, call);
+                if (!admit.call(this, call, open.size() < MOST_OPEN) && ++unusable > MOST_UNUSABLE) {
+                    throw new MalformedException(unusable + " calls that could not be used");
+                }
             }
             case "RPC.CANCEL" -> {
                 Held held = open.get(tag);
@@ -113,6 +164,7 @@
     /** A view of this connection is over. */
     void done(Held held) {
         open.remove(held.tag, held);
+        usedAt = clock.now();
         if (lastFrame) {
             closeIfDone();
         }
@@ -126,6 +178,9 @@
 
     @Override
     public void ended(Ending ending) {
+        if (patience != null) {
+            patience.run();
+        }
         body.forEach(IoBuffer::free);
         body.clear();
         List.copyOf(open.values()).forEach(admit::vanished);
--- a/src/main/java/tamarindroute/gateway/WarmUp.java
+++ b/src/main/java/tamarindroute/gateway/WarmUp.java
@@ -92,6 +92,11 @@
     Peer door(Connection connection, Function<Connection, Peer> real) {
         return new Peer() {
             private Peer behind;
+            private final Runnable patience = clock.after(TakeIn.WHOLE_FRAME, () -> {
+                if (behind == null) {
+                    connection.close(Ending.LET_GO, false);
+                }
+            });
 
             @Override
             public void received(ByteBuffer bytes) {
@@ -118,6 +123,11 @@
                 }
             }
 
+            @Override
+            public Duration uselessSince() {
+                return behind == null ? Duration.ZERO : behind.uselessSince();
+            }
+
             @Override
             public void idle() {
                 if (behind == null) {
@@ -129,6 +139,7 @@
 
             @Override
             public void ended(Ending ending) {
+                patience.run();
                 if (behind != null) {
                     behind.ended(ending);
                 }
@@ -136,6 +147,11 @@
         };
     }
 
+    /** An id as the protocol has them, of 16 digits. */
+    private static String hex(int number) {
+        return Long.toHexString(0x1000_0000_0000_0000L + number);
+    }
+
     /** The client's side. */
     private final class Client implements Peer {
 
@@ -149,9 +165,10 @@
         }
 
         private void call() {
-            String object = Integer.toHexString(sent * 7 % 500 + 1);
-            Fields fields = new Fields().with("method", MARK).with("rid", Integer.toHexString(++sent)).with("budget", 1000)
-                    .with("obj", object).with("piece", 0).with("lot", 1).with("mem", 100);
+            String object = hex(sent * 7 % 500);
+            String id = hex(++sent);
+            Fields fields = new Fields().with("method", MARK).with("rid", id).with("budget", 1000)
+                    .with("obj", object).with("piece", 0).with("lot", 1).with("mem", 100).with("token", id + id);
             client.write(RespWriter.frame("RPC.CALL", Integer.toString(sent),
                     profiles.get(sent % profiles.size()), fields.write(""), ""));
         }
--- a/src/main/java/tamarindroute/net/CacheLine.java
+++ b/src/main/java/tamarindroute/net/CacheLine.java
@@ -28,9 +28,15 @@
     private static final int LONGEST_WORD = 4096;
     private static final int LONGEST_BODY = 256 * 1024;
 
+    /** No word of the protocol's, and so an error after which it may have run. */
+    private static final String SPOILT = "";
+
     /** Far more than a connection has given up in the time in which one view can be sent again. */
     private static final int MOST_QUIT = 500;
 
+    /** An answer that rests for this gateway's own sake is looked at again after this. */
+    private static final Duration SOON = Duration.ofMillis(20);
+
     /** What the machine allows: connections to a cache, requests on one, time to come up, idle time. */
     public record Limits(int connections, int requests, Duration upWithin, Duration idle) { }
 
@@ -65,10 +71,19 @@
         return () -> link.quit(id, asked);
     }
 
-    /** The cache is gone: connections are closed as their last request ends. */
+    /**
+     * The cache is gone: connections are closed as their last request ends, and those that are coming up at once,
+     * for whoever has the address by now is another.
+     */
     public void letGo() {
         letGo = true;
-        List.copyOf(links).forEach(Link::closeIfDone);
+        List.copyOf(links).forEach(link -> {
+            if (link.up) {
+                link.closeIfDone();
+            } else {
+                link.connection.close(Ending.LET_GO, false);
+            }
+        });
     }
 
     /** The least busy connection, or a new one while there are few and all are busy. */
@@ -120,6 +135,7 @@
         /** Given up here; a late answer must not be taken for that of a later request of the same id. */
         private final Set<String> quit = new LinkedHashSet<>();
         private final RespReader reader = new RespReader(ANSWER_WORDS, LONGEST_WORD, LONGEST_BODY);
+        private Runnable stallTimer;
         private Request answering;
         private String answeringId;
 
@@ -210,6 +226,9 @@
                 while (!connection.paused()) {
                     switch (reader.next(bytes)) {
                         case MORE -> {
+                            if (stallTimer == null && !reader.atRest()) {
+                                stallTimer = timers.after(limits.upWithin(), this::stalled);
+                            }
                             return;
                         }
                         case HEAD -> head();
@@ -227,16 +246,38 @@
             }
         }
 
-        private void head() throws MalformedException {
-            List<String> words = reader.words();
-            if (words.size() < 2) {
-                throw new MalformedException("an answer without a word");
+        /**
+         * An answer that stopped short keeps all behind it from coming, so its connection is of no further use.
+         * A cache that is there goes on within the time in which one that is there lets a connection come up.
+         */
+        private void stalled() {
+            stallTimer = null;
+            if (reader.atRest()) {
+                return;
             }
+            Duration left = limits.upWithin().minus(timers.now().minus(heardAt));
+            if (connection.paused() || connection.hasUnused() || left.compareTo(Duration.ZERO) > 0) {
+                stallTimer = timers.after(left.compareTo(SOON) > 0 ? left : SOON, this::stalled);
+            } else {
+                connection.close(Ending.STALLED, false);
+            }
+        }
+
+        /** An answer whose words make no sense is spoilt, and costs its own trip alone: the frames are sound. */
+        private void head() {
+            List<String> words = reader.words();
             answeringId = words.get(0);
             answering = open.get(answeringId);
-            Fields fields = Fields.read(words.size() > 2 ? words.get(2) : "");
+            String word = words.size() > 1 ? words.get(1) : SPOILT;
+            Fields fields = new Fields();
+            try {
+                fields = Fields.read(words.size() > 2 ? words.get(2) : "");
+            } catch (MalformedException e) {
+                Log.line("cache-unreadable", name + ": " + e.getMessage());
+                word = SPOILT;
+            }
             if (answering != null) {
-                answering.asked.answered(words.get(1), fields, reader.bodyLength());
+                answering.asked.answered(word, fields, reader.bodyLength());
             }
         }
 
@@ -255,6 +296,9 @@
         public void ended(Ending ending) {
             links.remove(this);
             upTimer.run();
+            if (stallTimer != null) {
+                stallTimer.run();
+            }
             List<Request> all = List.copyOf(open.values());
             if (!all.isEmpty()) {
                 Log.line("cache-lost", name + " " + ending + (up ? "" : " before it was up") + ", " + all.size()
--- a/src/main/java/tamarindroute/net/Connection.java
+++ b/src/main/java/tamarindroute/net/Connection.java
@@ -78,6 +78,11 @@
         return written - left;
     }
 
+    /** Whether bytes have come that the peer has not been given. */
+    public boolean hasUnused() {
+        return reads.get() > 0;
+    }
+
     public boolean paused() {
         return paused;
     }
--- a/src/main/java/tamarindroute/net/Ending.java
+++ b/src/main/java/tamarindroute/net/Ending.java
@@ -19,6 +19,8 @@
     CLOSED(Result.BROKEN),
     /** The other side's process died, or its machine dropped the connection. */
     RESET(Result.BROKEN),
+    /** The other side stopped in the midst of an answer. */
+    STALLED(Result.BROKEN),
     /** What came could not be read. */
     UNREADABLE(Result.BROKEN),
     /** This gateway closed it: it was idle, or is not wanted any more. */
--- a/src/main/java/tamarindroute/net/Peer.java
+++ b/src/main/java/tamarindroute/net/Peer.java
@@ -1,6 +1,7 @@
 package tamarindroute.net;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 
 /**
  * What is behind a connection, called on the owner's thread only. It must never block, nor keep the bytes given.
@@ -16,6 +17,11 @@
     /** Nothing has come for the time that a client's connection may be idle. */
     default void idle() { }
 
+    /** Since when it is of no use, so that it may be let go for another client; null while it is of use. */
+    default Duration uselessSince() {
+        return null;
+    }
+
     /** The other side sends no more, but may still read. */
     default void inputClosed() { }
 
--- a/src/main/java/tamarindroute/net/Pool.java
+++ b/src/main/java/tamarindroute/net/Pool.java
@@ -20,6 +20,7 @@
 
     private final int most;
     private final ConcurrentLinkedQueue<ByteBuffer> free = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger spare = new AtomicInteger();
     private final AtomicInteger out = new AtomicInteger();
     private volatile Runnable roomAgain = () -> { };
 
@@ -40,6 +41,9 @@
 
     IoBuffer take() {
         ByteBuffer bytes = free.poll();
+        if (bytes != null) {
+            spare.decrementAndGet();
+        }
         out.incrementAndGet();
         return new Pooled(bytes == null ? ByteBuffer.allocate(SIZE) : bytes.clear(), true);
     }
@@ -126,7 +130,9 @@
             if (held.compareAndSet(true, false)) {
                 boolean hadRoom = hasRoom();
                 out.decrementAndGet();
-                if (bytes.capacity() == SIZE) {
+                // What a rush took beyond the share goes back to the heap.
+                if (bytes.capacity() == SIZE && spare.get() < most) {
+                    spare.incrementAndGet();
                     free.add(bytes);
                 }
                 if (!hadRoom && hasRoom()) {
--- a/src/main/java/tamarindroute/net/Sockets.java
+++ b/src/main/java/tamarindroute/net/Sockets.java
@@ -5,7 +5,9 @@
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -25,7 +27,7 @@
 import tamarindroute.log.Log;
 
 /**
- * Owns MINA: its one selecting thread for all connections, the listening socket, connecting, and the count of
+ * Owns MINA: its one selecting thread for all connections, the listening socket, connecting, and the shares of
  * descriptors. It hands all that happens over to the owner's thread and must never do anything else on MINA's.
  */
 public final class Sockets extends IoHandlerAdapter {
@@ -34,6 +36,8 @@
     private static final String WHY = "why";
     /** Descriptors for the program itself: its jar, selectors, standard streams, the feed, the listening socket. */
     private static final int OWN_DESCRIPTORS = 64;
+    /** Of those, for clients that are let in faster than others that have to go for them are closed. */
+    private static final int CROWD = OWN_DESCRIPTORS / 2;
 
     /** Clients close after 4 s; what is silent for so much longer has vanished without a word. */
     private static final int CLIENT_IDLE_SECONDS = 30;
@@ -49,6 +53,7 @@
     private final int mostAccepted;
     private final int mostConnected;
     private final AtomicInteger accepted = new AtomicInteger();
+    private final Set<Connection> clients = new LinkedHashSet<>();
     private final Set<Connection> connected = new HashSet<>();
     private Function<Connection, Peer> door;
 
@@ -109,6 +114,31 @@
 
     void ended(Connection connection) {
         connected.remove(connection);
+        clients.remove(connection);
+    }
+
+    /**
+     * Lets a client in. Where there are too many, what is of no use for longest goes first; clients that ask once
+     * and stay, or say nothing, would else shut out all others. Only where all are of use is the new one closed.
+     */
+    private void letIn(Connection connection, IoSession session) {
+        if (!session.isConnected()) {
+            return;
+        }
+        if (clients.size() >= mostAccepted) {
+            Connection out = clients.stream().filter(client -> client.peer.uselessSince() != null)
+                    .min(Comparator.comparing(client -> client.peer.uselessSince())).orElse(null);
+            Log.line("door-full", clients.size() + " client connections, "
+                    + (out == null ? "all in use: a new one closed" : "an idle one let go"));
+            if (out == null) {
+                session.closeNow();
+                return;
+            }
+            out.close(Ending.LET_GO, true);
+        }
+        clients.add(connection);
+        connection.peer = door.apply(connection);
+        connection.up(session);
     }
 
     private static Ending why(Throwable failure) {
@@ -142,15 +172,12 @@
         Connection connection = of(session);
         if (session.getService() != acceptor) {
             timers.handOver(() -> connection.up(session));
-        } else if (accepted.get() > mostAccepted) {
+        } else if (accepted.get() > mostAccepted + CROWD) {
             // Without a peer nothing is handed over; the client sees a close with no answer owed.
-            Log.line("door-full", accepted.get() + " client connections");
+            Log.line("door-crowd", accepted.get() + " client connections");
             session.closeNow();
         } else {
-            timers.handOver(() -> {
-                connection.peer = door.apply(connection);
-                connection.up(session);
-            });
+            timers.handOver(() -> letIn(connection, session));
         }
     }
 
--- a/src/main/java/tamarindroute/protocol/Fields.java
+++ b/src/main/java/tamarindroute/protocol/Fields.java
@@ -21,7 +21,9 @@
             if (equals <= 0) {
                 throw new MalformedException("a field without a name or a value");
             }
-            fields.values.put(item.substring(0, equals), item.substring(equals + 1));
+            if (fields.values.put(item.substring(0, equals), item.substring(equals + 1)) != null) {
+                throw new MalformedException("a field told twice");
+            }
         }
         return fields;
     }
@@ -31,15 +33,17 @@
         return values.get(name);
     }
 
-    /** The number; the other one where the field is absent. */
-    public double number(String name, double absent) throws MalformedException {
+    /** The number, at most so much; the other one where the field is absent. */
+    public double number(String name, double absent, double most) throws MalformedException {
         String value = values.get(name);
         if (value == null) {
             return absent;
         }
         try {
-            double number = Double.parseDouble(value);
-            if (Double.isFinite(number) && number >= 0) {
+            // Java's own forms (hexadecimal, 3d, NaN, blanks) are not the protocol's.
+            double number = value.chars().allMatch(c -> "0123456789.eE+-".indexOf(c) >= 0)
+                    ? Double.parseDouble(value) : -1;
+            if (number >= 0 && number <= most) {
                 return number;
             }
         } catch (NumberFormatException e) {
@@ -48,6 +52,15 @@
         throw new MalformedException("no number in " + name);
     }
 
+    /** The whole number, at most so much; 0 where the field is absent. */
+    public int whole(String name, int most) throws MalformedException {
+        double number = number(name, 0, most);
+        if (number != Math.rint(number)) {
+            throw new MalformedException("no whole number in " + name);
+        }
+        return (int) number;
+    }
+
     /** Adds a field; none where the value is null. */
     public Fields with(String name, Object value) {
         if (value != null) {
--- a/src/main/java/tamarindroute/protocol/RespReader.java
+++ b/src/main/java/tamarindroute/protocol/RespReader.java
@@ -55,6 +55,11 @@
         return words;
     }
 
+    /** Whether the frame has a body, be it empty. */
+    public boolean hasBody() {
+        return inBody;
+    }
+
     public int bodyLength() {
         return bodyLength;
     }
--- /dev/null
+++ b/src/test/java/tamarindroute/gateway/RosterTest.java
@@ -0,0 +1,99 @@
+package tamarindroute.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.lang.ref.WeakReference;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tamarindroute.Brain;
+import tamarindroute.decision.Answer;
+import tamarindroute.decision.Cache;
+import tamarindroute.decision.Decisions;
+import tamarindroute.decision.Load;
+import tamarindroute.decision.Purge;
+import tamarindroute.decision.Trip;
+import tamarindroute.decision.View;
+import tamarindroute.net.CacheLine;
+
+/** The list over a long time, in which each cache is replaced by another. */
+class RosterTest {
+
+    private static final String EVENT = "{\"n\":%d,\"events\":[{\"n\":%1$d,\"members\":{\"version\":1,\"full\":%s,"
+            + "\"servers\":[{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:9\",\"zone\":\"shed\",\"kind\":\"edge\",\"cell\":0,"
+            + "\"state\":\"%s\",\"weight\":40,\"started_ms\":0}]}}]}";
+
+    /** Passes what it is told on, and keeps the last list. */
+    private static final class Listening implements Decisions {
+
+        private final Decisions brain;
+        private List<Cache> last;
+
+        Listening(Decisions brain) {
+            this.brain = brain;
+        }
+
+        @Override
+        public Answer place(View view, Duration now) {
+            return null;
+        }
+
+        @Override
+        public Answer after(View view, Trip trip, Duration now) {
+            return null;
+        }
+
+        @Override
+        public Duration patience(View view, Duration now) {
+            return null;
+        }
+
+        @Override
+        public void listed(List<Cache> caches, Duration now) {
+            last = List.copyOf(caches);
+            brain.listed(caches, now);
+        }
+
+        @Override
+        public void purged(Purge purge, Duration now) { }
+
+        @Override
+        public void loaded(Cache cache, Load load, Duration now) { }
+    }
+
+    @Test
+    void aCacheThatIsGoneIsForgottenWhenNoTripNamesIt() throws Exception {
+        Config config = Config.read(Path.of("example/config.json").toString());
+        Listening listening = new Listening(new Brain(config.settings().settings(1)));
+        Clock clock = new Clock();
+        Roster roster = new Roster(config.settings(), listening, clock, (id, address) ->
+                new CacheLine(null, clock, id, address, new CacheLine.Limits(4, 100, Duration.ofSeconds(1), Duration.ZERO)));
+        roster.read(EVENT.formatted(1, true, 0, "ready"));
+        Cache first = listening.last.get(0);
+        Trip trip = new Trip(first, first, 1, null, false, false, null);
+        WeakReference<Cache> told = null;
+        for (int i = 1; i <= 50; i++) {
+            roster.read(EVENT.formatted(3 * i - 1, false, i, "ready"));
+            if (i == 25) {
+                roster.out(trip, 1);
+                told = new WeakReference<>(listening.last.stream().filter(cache -> cache != first).findFirst().orElseThrow());
+            }
+            roster.read(EVENT.formatted(3 * i, false, i, "draining"));
+            roster.read(EVENT.formatted(3 * i + 1, false, i, "gone"));
+            assertThat(listening.last).hasSize(2).extracting(cache -> cache.standing).contains(Cache.Standing.GONE);
+        }
+        roster.read(EVENT.formatted(152, false, 0, "gone"));
+        roster.read(EVENT.formatted(153, false, 51, "ready"));
+        assertThat(listening.last).as("a trip is out").contains(first);
+        roster.out(trip, -1);
+        roster.read(EVENT.formatted(154, false, 52, "ready"));
+        roster.read(EVENT.formatted(155, false, 53, "ready"));
+        assertThat(listening.last).doesNotContain(first).hasSize(3);
+        for (int i = 0; i < 50 && told.get() != null; i++) {
+            System.gc();
+            Thread.sleep(20);
+        }
+        assertThat(told.get()).as("the module's memory of it").isNull();
+    }
+}
--- a/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/src/test/java/tamarindroute/net/ConnectTest.java
@@ -6,11 +6,14 @@
 import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import tamarindroute.protocol.Fields;
 
 /** Connecting through MINA, which keeps threads and one allocator for the whole process. */
 class ConnectTest {
@@ -54,6 +57,42 @@
         public void ended(Ending ending) { }
     }
 
+    /** The address of a cache that is gone may be another's by the time that the connection comes up. */
+    @Test
+    void whatWaitedForAConnectionToACacheThatIsGoneIsNotSent() throws Exception {
+        Owner owner = new Owner();
+        Sockets sockets = new Sockets(owner, new Pool(64L * 1024 * 1024), 1024);
+        try (ServerSocket server = new ServerSocket(0, 200)) {
+            CacheLine line = new CacheLine(sockets, owner, "s",
+                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    new CacheLine.Limits(4, 100, Duration.ofSeconds(2), Duration.ZERO));
+            CompletableFuture<Boolean> written = new CompletableFuture<>();
+            owner.thread.submit(() -> {
+                line.ask("1", "-", List.of(), 0, new Asked() {
+                    @Override
+                    public void answered(String word, Fields fields, int length) { }
+
+                    @Override
+                    public void body(ByteBuffer part, Connection from) { }
+
+                    @Override
+                    public void whole() { }
+
+                    @Override
+                    public void ended(Ending ending, boolean whole) {
+                        written.complete(whole);
+                    }
+                });
+                line.letGo();
+            }).get();
+            assertThat(written.get(2, TimeUnit.SECONDS)).isFalse();
+            assertThat(server.accept().getInputStream().read()).isEqualTo(-1);
+        } finally {
+            sockets.shutDown();
+            owner.thread.shutdownNow();
+        }
+    }
+
     @Test
     void connectionsComeUpAfterOthersWereGivenUpWhileComingUp() throws Exception {
         Owner owner = new Owner();
