--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -367,7 +367,7 @@
 
     @Override
     public void loaded(Cache cache, Load load, Duration now) {
-        Optional.ofNullable(nodes.get(cache)).ifPresent(node -> node.told.toward(load.busy(), 1, seconds(now)));
+        Optional.ofNullable(nodes.get(cache)).ifPresent(n -> n.told.toward(load.busy(), 1, seconds(now)));
     }
 
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
