The tests of connections share one set-up

Four tests built the owner's thread, the pool and the sockets alike, and ended them alike. One set-up serves all; what they check is unchanged.

--- a/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/src/test/java/tamarindroute/net/ConnectTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import tamarindroute.protocol.Fields;
 
@@ -44,6 +45,16 @@
         }
     }
 
+    private final Owner owner = new Owner();
+    private final Pool pool = new Pool(64L * 1024 * 1024);
+    private final Sockets sockets = new Sockets(owner, pool, 1024);
+
+    @AfterEach
+    void end() {
+        sockets.shutDown();
+        owner.thread.shutdownNow();
+    }
+
     /** Counts what comes up; a connection given up while it was coming up must not cost a later one. */
     private record Counting(CountDownLatch up) implements Peer {
 
@@ -64,8 +75,6 @@
     /** The address of a cache that is gone may be another's by the time that the connection comes up. */
     @Test
     void whatWaitedForAConnectionToACacheThatIsGoneIsNotSent() throws Exception {
-        Owner owner = new Owner();
-        Sockets sockets = new Sockets(owner, new Pool(64L * 1024 * 1024), 1024);
         try (ServerSocket server = new ServerSocket(0, 200)) {
             CacheLine line = new CacheLine(sockets, owner, "s",
                     new InetSocketAddress("127.0.0.1", server.getLocalPort()),
@@ -91,17 +100,12 @@
             }).get();
             assertThat(written.get(2, TimeUnit.SECONDS)).isFalse();
             assertThat(server.accept().getInputStream().read()).isEqualTo(-1);
-        } finally {
-            sockets.shutDown();
-            owner.thread.shutdownNow();
         }
     }
 
     /** MINA sets what a connection waits for in two steps: two threads at once leave it deaf, or mute, for good. */
     @Test
     void aConnectionWhoseReadsRestAndGoOnUnderWritesNeverStalls() throws Exception {
-        Owner owner = new Owner();
-        Sockets sockets = new Sockets(owner, new Pool(64L * 1024 * 1024), 1024);
         int turns = 60_000;
         try (ServerSocket server = new ServerSocket(0, 200)) {
             CountDownLatch heard = new CountDownLatch(turns);
@@ -138,18 +142,12 @@
                 // Nothing more comes: told by the count.
             }
             assertThat(heard.getCount()).isZero();
-        } finally {
-            sockets.shutDown();
-            owner.thread.shutdownNow();
         }
     }
 
     /** MINA lets what is queued go without a word when a connection ends; the pool must get it back. */
     @Test
     void buffersThatNeverLeftComeBackToThePool() throws Exception {
-        Owner owner = new Owner();
-        Pool pool = new Pool(64L * 1024 * 1024);
-        Sockets sockets = new Sockets(owner, pool, 1024);
         try (ServerSocket server = new ServerSocket(0, 200)) {
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
             CountDownLatch up = new CountDownLatch(1);
@@ -169,16 +167,11 @@
                 Thread.sleep(10);
             }
             assertThat(pool.hasRoom()).isTrue();
-        } finally {
-            sockets.shutDown();
-            owner.thread.shutdownNow();
         }
     }
 
     @Test
     void connectionsComeUpAfterOthersWereGivenUpWhileComingUp() throws Exception {
-        Owner owner = new Owner();
-        Sockets sockets = new Sockets(owner, new Pool(64L * 1024 * 1024), 1024);
         try (ServerSocket server = new ServerSocket(0, 200)) {
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
             for (int round = 0; round < 20; round++) {
@@ -191,9 +184,6 @@
                 }).get();
                 assertThat(up.await(2, TimeUnit.SECONDS)).as("round " + round).isTrue();
             }
-        } finally {
-            sockets.shutDown();
-            owner.thread.shutdownNow();
         }
     }
 }
