What any front needs of one module instance leaves gateway for host

Need: DNS, VRRP and xDS fronts stand on the same owner's thread, list of caches, feed and module as the gateway. Change: Clock, Roster and Config move to a package host; Instance wires them with sockets and feed; Roster tells any number of modules, for a front that answers for several locations. gateway is one front on it.

--- a/src/main/java/tamarindroute/gateway/Admit.java
+++ b/src/main/java/tamarindroute/gateway/Admit.java
@@ -7,6 +7,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.decision.Profile;
 import tamarindroute.decision.View;
+import tamarindroute.host.Clock;
 import tamarindroute.log.Log;
 import tamarindroute.protocol.Fields;
 import tamarindroute.protocol.MalformedException;
--- a/src/main/java/tamarindroute/gateway/Book.java
+++ b/src/main/java/tamarindroute/gateway/Book.java
@@ -8,6 +8,7 @@
 import tamarindroute.decision.Outcome;
 import tamarindroute.decision.Outcome.Detail;
 import tamarindroute.decision.Outcome.Result;
+import tamarindroute.host.Clock;
 import tamarindroute.log.Log;
 import tamarindroute.protocol.Fields;
 import tamarindroute.protocol.MalformedException;
--- a/src/main/java/tamarindroute/gateway/Chain.java
+++ b/src/main/java/tamarindroute/gateway/Chain.java
@@ -1,6 +1,8 @@
 package tamarindroute.gateway;
 
 import tamarindroute.decision.Decisions;
+import tamarindroute.host.Clock;
+import tamarindroute.host.Roster;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Pool;
 import tamarindroute.settings.MalformedSettingsException;
@@ -18,11 +20,11 @@
     private final Admit admit;
     private final Clock clock;
 
-    Chain(SettingsReader settings, Decisions decisions, Clock clock, Pool pool, Roster.Lines lines)
+    Chain(SettingsReader settings, Decisions decisions, Clock clock, Pool pool, Roster roster)
             throws MalformedSettingsException {
         this.pool = pool;
         this.clock = clock;
-        roster = new Roster(settings, decisions, clock, lines);
+        this.roster = roster;
         relay = new Relay(pool);
         Route route = new Route(decisions, clock);
         Book book = new Book(clock, decisions, route);
--- a/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/src/main/java/tamarindroute/gateway/Gateway.java
@@ -8,13 +8,11 @@
 import sun.misc.Signal;
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Settings;
+import tamarindroute.host.Clock;
+import tamarindroute.host.Config;
+import tamarindroute.host.Instance;
+import tamarindroute.host.Roster;
 import tamarindroute.log.Log;
-import tamarindroute.net.CacheLine;
-import tamarindroute.net.Feed;
-import tamarindroute.net.Pool;
-import tamarindroute.net.Sockets;
-import tamarindroute.protocol.MalformedException;
-import tamarindroute.settings.SettingsReader;
 
 /**
  * Owns one gateway's life: its start from the configuration, the wiring of the stages, readiness, the reading of
@@ -24,37 +22,32 @@
 
     /** New connections come for 0.4 s after SIGTERM, requests on them for 0.2 s more; and a bit for good measure. */
     private static final Duration STILL_COMING = Duration.ofMillis(750);
-    /** Connections to one cache: enough that a large answer does not stop the others, few enough to share. */
-    private static final int FEW = 4;
     /** SIGKILL may come 0.7 s after the longest cut-off, counted as 3 s at most; all is answered before. */
     private static final Duration LONGEST = Duration.ofSeconds(3);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(500);
 
-    private final Clock clock = new Clock();
+    private final Instance instance;
+    private final Clock clock;
     private final Config config;
-    private final Sockets sockets;
     private final Chain chain;
-    private final Feed feed;
     private final WarmUp warmUp;
 
     private Gateway(Config config, Function<Settings, Decisions> module) throws IOException {
         this.config = config;
-        SettingsReader settings = config.settings();
-        Pool pool = new Pool(config.memory());
-        sockets = new Sockets(clock, pool, config.descriptors());
-        CacheLine.Limits limits = new CacheLine.Limits(FEW, settings.mostOnConnection(), settings.connectWithin(),
-                settings.keepIdle());
-        Roster.Lines lines = (id, address) -> new CacheLine(sockets, clock, id, address, limits);
-        chain = chain(module, pool, lines);
-        feed = new Feed(sockets, clock, config.feed(), chain.roster());
-        warmUp = new WarmUp(clock, sockets, config, chain(module, pool,
-                (id, address) -> lines.make(id, config.listen())), this::warm);
-        pool.whenRoom(() -> clock.handOver(chain::room));
+        this.clock = new Clock();
+        Decisions decisions = module.apply(config.settings().settings(config.seed()));
+        instance = new Instance(config, clock, List.of(decisions));
+        chain = new Chain(config.settings(), decisions, clock, instance.pool(), instance.roster());
+        warmUp = new WarmUp(clock, instance.sockets(), config, aside(module), this::warm);
+        instance.pool().whenRoom(() -> clock.handOver(chain::room));
     }
 
-    private Chain chain(Function<Settings, Decisions> module, Pool pool, Roster.Lines lines) throws IOException {
-        SettingsReader settings = config.settings();
-        return new Chain(settings, module.apply(settings.settings(config.seed())), clock, pool, lines);
+    /** A chain with a module and a list of its own, whose caches are all this gateway itself. */
+    private Chain aside(Function<Settings, Decisions> module) throws IOException {
+        Decisions decisions = module.apply(config.settings().settings(config.seed()));
+        Roster roster = new Roster(config.settings(), List.of(decisions), clock,
+                (id, address) -> instance.line(id, config.listen()));
+        return new Chain(config.settings(), decisions, clock, instance.pool(), roster);
     }
 
     /** Starts a gateway from its configuration file; returns at once, the rest goes on in threads of its own. */
@@ -79,26 +72,22 @@
             List<String> later = gateway.config.differsIn(told);
             Log.line("config", "read again, feed " + told.feed()
                     + (later.isEmpty() ? "" : "; not before the next start: " + String.join(", ", later)));
-            gateway.clock.handOver(() -> gateway.feed.move(told.feed()));
+            gateway.clock.handOver(() -> gateway.instance.move(told.feed()));
         } catch (IOException e) {
             Log.line("config-unusable", "the old one holds: " + e.getMessage());
         }
     }
 
     private void open() {
+        instance.known();
         try {
-            chain.roster().read(config.known());
-        } catch (MalformedException e) {
-            Log.line("feed-unreadable", e.getMessage());
-        }
-        try {
-            sockets.listen(config.listen(), connection ->
+            instance.sockets().listen(config.listen(), connection ->
                     warmUp.over() ? chain.takeIn(connection) : warmUp.door(connection, chain::takeIn));
         } catch (IOException e) {
             System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
-        feed.start();
+        instance.follow();
         warmUp.start();
     }
 
@@ -130,6 +119,6 @@
         } catch (InterruptedException | IOException e) {
             Log.line("stop", e);
         }
-        sockets.shutDown();
+        instance.sockets().shutDown();
     }
 }
--- a/src/main/java/tamarindroute/gateway/Route.java
+++ b/src/main/java/tamarindroute/gateway/Route.java
@@ -4,6 +4,7 @@
 import tamarindroute.decision.Answer;
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Trip;
+import tamarindroute.host.Clock;
 import tamarindroute.log.Log;
 
 /**
--- a/src/main/java/tamarindroute/gateway/Send.java
+++ b/src/main/java/tamarindroute/gateway/Send.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import tamarindroute.decision.Outcome.Result;
 import tamarindroute.decision.Trip;
+import tamarindroute.host.Clock;
+import tamarindroute.host.Roster;
 import tamarindroute.net.Asked;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Ending;
--- a/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apache.mina.core.buffer.IoBuffer;
+import tamarindroute.host.Clock;
 import tamarindroute.log.Log;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Ending;
--- a/src/main/java/tamarindroute/gateway/WarmUp.java
+++ b/src/main/java/tamarindroute/gateway/WarmUp.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Function;
+import tamarindroute.host.Clock;
+import tamarindroute.host.Config;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Ending;
 import tamarindroute.net.Peer;
--- a/src/main/java/tamarindroute/gateway/Clock.java
+++ b/src/main/java/tamarindroute/host/Clock.java
@@ -1,4 +1,4 @@
-package tamarindroute.gateway;
+package tamarindroute.host;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -13,7 +13,7 @@
  * system's Unix clock. Timers that are due go before what was handed over, so that a backlog delays no final
  * answer. A failure in a task is logged and must never end the thread; nothing here takes a lock.
  */
-final class Clock implements Timers {
+public final class Clock implements Timers {
 
     private static final class Timer implements Comparable<Timer> {
         final long due;
@@ -40,7 +40,7 @@
     private int calledOff;
     private volatile boolean resting;
 
-    Clock() {
+    public Clock() {
         owner.start();
     }
 
@@ -50,7 +50,7 @@
     }
 
     /** A Unix time in milliseconds as a time since the start; it may lie before it. */
-    Duration at(long unixMillis) {
+    public Duration at(long unixMillis) {
         return Duration.between(start, Instant.ofEpochMilli(unixMillis));
     }
 
--- a/src/main/java/tamarindroute/gateway/Config.java
+++ b/src/main/java/tamarindroute/host/Config.java
@@ -1,4 +1,4 @@
-package tamarindroute.gateway;
+package tamarindroute.host;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -21,10 +21,10 @@
  * Owns the reading of the configuration file. It must never keep what nobody reads, nor let a file that
  * cannot be used pass for one that can.
  */
-record Config(InetSocketAddress listen, InetSocketAddress feed, long seed, long memory, int descriptors,
+public record Config(InetSocketAddress listen, InetSocketAddress feed, long seed, long memory, int descriptors,
         JsonObject known, SettingsReader settings) {
 
-    static Config read(String path) throws MalformedSettingsException {
+    public static Config read(String path) throws MalformedSettingsException {
         if (path == null || path.isEmpty()) {
             throw new MalformedSettingsException("EDGE_CONFIG names no configuration file");
         }
@@ -51,7 +51,7 @@
     }
 
     /** What a gateway cannot change in service, of what the other says differently. */
-    List<String> differsIn(Config other) {
+    public List<String> differsIn(Config other) {
         Map<String, Boolean> same = new LinkedHashMap<>();
         same.put("listen", listen.equals(other.listen));
         same.put("limits", memory == other.memory && descriptors == other.descriptors);
@@ -60,7 +60,7 @@
     }
 
     /** HOST:PORT, the host a number, for there are no names to be looked up. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         if (colon <= 0) {
             throw new IllegalArgumentException("no address: " + text);
--- a/src/main/java/tamarindroute/gateway/Roster.java
+++ b/src/main/java/tamarindroute/host/Roster.java
@@ -1,4 +1,4 @@
-package tamarindroute.gateway;
+package tamarindroute.host;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -30,14 +30,14 @@
  * Owns the list of caches by their ids, their connections, and the number of the last event read. Each event is
  * taken once, in order, and told to the module; it must never judge a cache, nor drop a list for a bad event.
  */
-final class Roster implements Feed.Reader {
+public final class Roster implements Feed.Reader {
 
     /** Makes the connections to a cache. */
-    interface Lines {
+    public interface Lines {
         CacheLine make(String id, InetSocketAddress address);
     }
 
-    private final Decisions decisions;
+    private final List<Decisions> modules;
     private final Clock clock;
     private final Lines lines;
     private final List<String> zones;
@@ -64,9 +64,9 @@
         }
     }
 
-    Roster(SettingsReader settings, Decisions decisions, Clock clock, Lines lines)
+    public Roster(SettingsReader settings, List<Decisions> modules, Clock clock, Lines lines)
             throws MalformedSettingsException {
-        this.decisions = decisions;
+        this.modules = List.copyOf(modules);
         this.clock = clock;
         this.lines = lines;
         this.zones = settings.zones();
@@ -75,32 +75,32 @@
         this.originKind = settings.originKind();
     }
 
-    String id(Cache cache) {
+    public String id(Cache cache) {
         return entryOf.get(cache).id;
     }
 
-    CacheLine line(Cache cache) {
+    public CacheLine line(Cache cache) {
         return entryOf.get(cache).line;
     }
 
     /** A trip goes out, or has come back and been judged: a cache that is gone is forgotten when none is out. */
-    void out(Trip trip, int change) {
+    public void out(Trip trip, int change) {
         entryOf.get(trip.cache).out += change;
         entryOf.get(trip.source).out += change;
     }
 
     /** Whether a whole list has come. */
-    boolean listed() {
+    public boolean listed() {
         return listed;
     }
 
     /** Told once, when the first whole list is in. */
-    void whenListed(Runnable task) {
+    public void whenListed(Runnable task) {
         whenListed = task;
     }
 
     /** Closes the connections to all caches. */
-    void letGo() {
+    public void letGo() {
         entries.values().forEach(entry -> entry.line.letGo());
     }
 
@@ -118,7 +118,7 @@
         }
     }
 
-    void read(JsonObject answer) throws MalformedException {
+    public void read(JsonObject answer) throws MalformedException {
         JsonArray events = new JsonArray();
         long newest = 0;
         try {
@@ -191,9 +191,10 @@
             entries.forEach((id, entry) -> entry.cache.standing =
                     told.contains(id) ? entry.cache.standing : Cache.Standing.GONE);
         }
-        decisions.listed(entries.values().stream()
+        List<Cache> caches = entries.values().stream()
                 .sorted(Comparator.comparingLong((Entry entry) -> entry.cache.mark).thenComparing(entry -> entry.id))
-                .map(entry -> entry.cache).toList(), clock.now());
+                .map(entry -> entry.cache).toList();
+        modules.forEach(module -> module.listed(caches, clock.now()));
         // Told once as gone, it is forgotten, or the list would grow with each cache that was ever replaced.
         entries.values().stream().filter(entry -> entry.cache.standing == Cache.Standing.GONE)
                 .forEach(entry -> entry.line.letGo());
@@ -265,7 +266,8 @@
 
     private void purge(JsonObject purge) {
         Long object = purge.has("key") ? Long.parseUnsignedLong(purge.get("key").getAsString(), 16) : null;
-        decisions.purged(new Purge(object, object == null ? purge.get("group").getAsInt() : -1,
-                clock.at(purge.get("at").getAsLong())), clock.now());
+        Purge told = new Purge(object, object == null ? purge.get("group").getAsInt() : -1,
+                clock.at(purge.get("at").getAsLong()));
+        modules.forEach(module -> module.purged(told, clock.now()));
     }
 }
--- a/src/test/java/tamarindroute/gateway/RosterTest.java
+++ b/src/test/java/tamarindroute/host/RosterTest.java
@@ -1,4 +1,4 @@
-package tamarindroute.gateway;
+package tamarindroute.host;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -67,7 +67,7 @@
         Config config = Config.read(Path.of("example/config.json").toString());
         Listening listening = new Listening(new Brain(config.settings().settings(1)));
         Clock clock = new Clock();
-        Roster roster = new Roster(config.settings(), listening, clock, (id, address) ->
+        Roster roster = new Roster(config.settings(), List.of(listening), clock, (id, address) ->
                 new CacheLine(null, clock, id, address, new CacheLine.Limits(4, 100, Duration.ofSeconds(1), Duration.ZERO)));
         roster.read(EVENT.formatted(1, true, 0, "ready"));
         Cache first = listening.last.get(0);
