--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -24,6 +24,7 @@
 import tamarindroute.decision.Profile;
 import tamarindroute.decision.Profile.Repeat;
 import tamarindroute.decision.Purge;
+import tamarindroute.decision.Regard;
 import tamarindroute.decision.Settings;
 import tamarindroute.decision.Trip;
 import tamarindroute.decision.View;
@@ -120,6 +121,13 @@
             return cache.standing == Standing.READY;
         }
 
+        /** This instance's share of the work a second that pushes a cold cache over. */
+        double rate(double now) {
+            double age = Math.max(0, now - seconds(cache.upSince));
+            double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
+            return start.multiple() * warmth * cache.weight / sharers();
+        }
+
         /**
          * Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
          * multiple: 0.7 of it flows in, 0.4 may wait, or one view where that is less, lest a cache of many
@@ -129,9 +137,7 @@
             if (!cold(now)) {
                 return true;
             }
-            double age = Math.max(0, now - seconds(cache.upSince));
-            double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
-            double rate = start.multiple() * warmth * cache.weight / sharers();
+            double rate = rate(now);
             allowance = Math.min(Math.max(work, 0.4 * rate * seconds(start.window())),
                     allowance + 0.7 * rate * (now - allowanceAt));
             allowanceAt = now;
@@ -370,6 +376,33 @@
         Optional.ofNullable(nodes.get(cache)).ifPresent(n -> n.told.toward(load.busy(), 1, seconds(now)));
     }
 
+    @Override
+    public Regard regard(Cache cache, Duration at) {
+        Node node = nodes.get(cache);
+        double now = seconds(at);
+        return node == null ? null : new Regard(node.ready(), node.cold(now), node.barred,
+                node.doubt.read(now), node.cold(now) ? 0.7 * node.rate(now) : Double.POSITIVE_INFINITY,
+                node.told.read(now), cache.weight);
+    }
+
+    @Override
+    public List<Cache> homes(long object) {
+        return ranked(edges, stir(object * 1000003)).stream().map(node -> node.cache).toList();
+    }
+
+    /** Probes are told as views' outcomes are: silence speaks half as loud as a refusal. */
+    @Override
+    public void probed(Cache cache, Result result, Duration now) {
+        double weight = switch (result) {
+            case HONOURED -> -1;
+            case ERRED, BROKEN, UNREACHED -> 1;
+            case TIMED_OUT -> 0.5;
+            default -> 0;
+        };
+        Optional.ofNullable(nodes.get(cache)).filter(n -> weight != 0)
+                .ifPresent(n -> n.judge(weight, seconds(now)));
+    }
+
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
     private static List<Node> ranked(List<Node> among, long key) {
         List<Node> ranked = new ArrayList<>(among);
--- a/src/main/java/tamarindroute/decision/Decisions.java
+++ b/src/main/java/tamarindroute/decision/Decisions.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What a gateway asks of its decision module, and what it tells it. All times are spans since the gateway's
- * start. The gateway notes each trip it sends in the view, with its time, and each outcome in the trip,
+ * What a front asks of its decision module, and what it tells it. All times are spans since the instance's
+ * start. A gateway notes each trip it sends in the view, with its time, and each outcome in the trip,
  * before it asks on.
  */
 public interface Decisions {
@@ -25,4 +25,13 @@
     void purged(Purge purge, Duration now);
 
     void loaded(Cache cache, Load load, Duration now);
+
+    /** What is held of a cache; null for one that the list does not name. For fronts that carry no views. */
+    Regard regard(Cache cache, Duration now);
+
+    /** The location's edges as the ordinary path ranks them for an object: its hashed home first. */
+    List<Cache> homes(long object);
+
+    /** How a probe of a cache came back, where that speaks for or against the cache and nothing else. */
+    void probed(Cache cache, Outcome.Result result, Duration now);
 }
--- /dev/null
+++ b/src/main/java/tamarindroute/log/Guard.java
@@ -0,0 +1,26 @@
+package tamarindroute.log;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Lets one line a second through for each topic and counts the others. Topics are few: they stand in the code. */
+final class Guard {
+
+    private static final long PAUSE = 1_000;
+
+    private final Map<String, long[]> last = new HashMap<>();
+
+    /** How many lines were left out before this one; -1 where this one is left out as well. */
+    synchronized int pass(String topic, long now) {
+        long[] of = last.computeIfAbsent(topic, t -> new long[] {Long.MIN_VALUE / 2, 0});
+        // A clock that was set back must not silence a topic until it has caught up.
+        if (now >= of[0] && now - of[0] < PAUSE) {
+            of[1]++;
+            return -1;
+        }
+        int leftOut = (int) of[1];
+        of[0] = now;
+        of[1] = 0;
+        return leftOut;
+    }
+}
--- a/src/main/java/tamarindroute/log/Log.java
+++ b/src/main/java/tamarindroute/log/Log.java
@@ -1,123 +1,71 @@
 package tamarindroute.log;
 
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.stream.Collectors;
-import org.slf4j.ILoggerFactory;
-import org.slf4j.IMarkerFactory;
 import org.slf4j.Logger;
-import org.slf4j.Marker;
-import org.slf4j.event.Level;
-import org.slf4j.helpers.BasicMarkerFactory;
-import org.slf4j.helpers.LegacyAbstractLogger;
-import org.slf4j.helpers.MessageFormatter;
-import org.slf4j.helpers.NOPMDCAdapter;
-import org.slf4j.spi.MDCAdapter;
-import org.slf4j.spi.SLF4JServiceProvider;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
- * Owns the program's log lines, one kind a topic, on standard output, and those that libraries write through
- * SLF4J. It must never let a storm through: a topic gets one line a second, the rest are counted in the next.
+ * The facade that the whole program logs through: one kind of line a topic, explained in docs/oncall.md, with its
+ * particulars and named values. It must never let a storm through, whichever library writes the lines.
  */
-public final class Log implements SLF4JServiceProvider {
+public final class Log {
 
-    private static final long PAUSE = 1_000;
-    private static final Map<String, long[]> LAST = new HashMap<>();
+    /** The program's own logger; all others are libraries'. */
+    static final String NAME = "tamarindroute";
+    static final String TOPIC = "topic";
+    /** How many lines of the topic were left out since the last one. */
+    static final String LEFT_OUT = "left_out";
 
-    /** One line: the topic, explained in docs/oncall.md, and the particulars. */
-    public static synchronized void line(String topic, Object particulars) {
-        long now = System.currentTimeMillis();
-        long[] last = LAST.computeIfAbsent(topic, t -> new long[2]);
-        if (now - last[0] < PAUSE) {
-            last[1]++;
-            return;
-        }
-        System.out.println(now + " " + topic + ": " + particulars + (last[1] > 0 ? " (+" + last[1] + ")" : ""));
-        last[0] = now;
-        last[1] = 0;
-    }
-
-    /** A failure of the program's own: its kind and the first place it passed. */
-    public static void defect(Throwable failure) {
-        line("defect", told(failure, 1));
-    }
-
-    private static String told(Throwable failure, int places) {
-        return failure + Arrays.stream(failure.getStackTrace()).limit(places).map(place -> " at " + place)
-                .collect(Collectors.joining());
-    }
+    /** Which provider writes, and in which form. */
+    public enum Form { SMALL, PLAIN, JSON }
 
-    /** What a library has to say, from warnings up. */
-    private static final class Library extends LegacyAbstractLogger {
+    private static final Guard GUARD = new Guard();
 
-        private static final long serialVersionUID = 1L;
-
-        Library(String name) {
-            this.name = name;
-        }
+    private Log() { }
 
-        @Override
-        public boolean isTraceEnabled() {
-            return false;
-        }
-
-        @Override
-        public boolean isDebugEnabled() {
-            return false;
-        }
+    /** Chooses who writes; before the first line, else it has no effect. */
+    public static void form(Form form) {
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("slf4j.provider", form == Form.SMALL ? Small.class.getName()
+                : "ch.qos.logback.classic.spi.LogbackServiceProvider");
+        System.setProperty("logback.configurationFile", form == Form.JSON ? "logback-json.xml" : "logback.xml");
+    }
 
-        @Override
-        public boolean isInfoEnabled() {
-            return false;
-        }
+    /** SLF4J is asked for at the first line, so that a form can be chosen before. */
+    private static final class Behind {
+        static final Logger LOGGER = LoggerFactory.getLogger(NAME);
+    }
 
-        @Override
-        public boolean isWarnEnabled() {
-            return true;
-        }
+    /** One line: the topic and the particulars. */
+    public static void line(String topic, Object particulars) {
+        event(topic, particulars);
+    }
 
-        @Override
-        public boolean isErrorEnabled() {
-            return true;
+    /** One line with named values: a name, its value, and so on. */
+    public static void event(String topic, Object particulars, Object... named) {
+        int leftOut = GUARD.pass(topic, System.currentTimeMillis());
+        if (leftOut < 0) {
+            return;
         }
-
-        @Override
-        protected String getFullyQualifiedCallerName() {
-            return null;
+        LoggingEventBuilder event = Behind.LOGGER.atInfo().addKeyValue(TOPIC, topic);
+        for (int i = 0; i + 1 < named.length; i += 2) {
+            event = event.addKeyValue(String.valueOf(named[i]), named[i + 1]);
         }
-
-        @Override
-        protected void handleNormalizedLoggingCall(Level level, Marker marker, String pattern,
-                Object[] arguments, Throwable thrown) {
-            line("library", MessageFormatter.basicArrayFormat(pattern, arguments)
-                    + (thrown == null ? "" : " " + told(thrown, 6)));
+        if (leftOut > 0) {
+            event = event.addKeyValue(LEFT_OUT, leftOut);
         }
+        event.log(String.valueOf(particulars));
     }
 
-    private final ILoggerFactory loggers = Library::new;
-    private final IMarkerFactory markers = new BasicMarkerFactory();
-
-    @Override
-    public ILoggerFactory getLoggerFactory() {
-        return loggers;
-    }
-
-    @Override
-    public IMarkerFactory getMarkerFactory() {
-        return markers;
-    }
-
-    @Override
-    public MDCAdapter getMDCAdapter() {
-        return new NOPMDCAdapter();
+    /** A failure of the program's own: its kind and the first place it passed. */
+    public static void defect(Throwable failure) {
+        line("defect", told(failure, 1));
     }
 
-    @Override
-    public String getRequestedApiVersion() {
-        return "2.0.99";
+    static String told(Throwable failure, int places) {
+        return failure + Arrays.stream(failure.getStackTrace()).limit(places).map(place -> " at " + place)
+                .collect(Collectors.joining());
     }
-
-    @Override
-    public void initialize() { }
 }
--- a/src/test/java/tamarindroute/host/RosterTest.java
+++ b/src/test/java/tamarindroute/host/RosterTest.java
@@ -12,7 +12,9 @@
 import tamarindroute.decision.Cache;
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Load;
+import tamarindroute.decision.Outcome;
 import tamarindroute.decision.Purge;
+import tamarindroute.decision.Regard;
 import tamarindroute.decision.Trip;
 import tamarindroute.decision.View;
 import tamarindroute.net.CacheLine;
@@ -60,6 +62,19 @@
 
         @Override
         public void loaded(Cache cache, Load load, Duration now) { }
+
+        @Override
+        public Regard regard(Cache cache, Duration now) {
+            return brain.regard(cache, now);
+        }
+
+        @Override
+        public List<Cache> homes(long object) {
+            return brain.homes(object);
+        }
+
+        @Override
+        public void probed(Cache cache, Outcome.Result result, Duration now) { }
     }
 
     @Test
