DNS front: deciding modules, name server, forwarder, XML settings; other libraries off the gateway's path

Need: names that steer clients are to be answered from the module that places views (first cut, tests follow). Change: package dns decides who is answered, resolver whom to ask and what to believe, nameserver is the front on MINA, config reads XML with a schema.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -17,8 +17,10 @@
 [ ! -r target/tamarindroute.jsa ] || archive=-XX:SharedArchiveFile=target/tamarindroute.jsa
 # Methods are compiled from their 50th call on, not the 200th: the warm-up takes 150 views in place of 600.
 soon="-XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=300"
+# A gateway has few strings and one compiler's work: tables and threads of the usual size cost 1.4 MB of memory.
+lean="-XX:StringTableSize=2048 -XX:+UnlockExperimentalVMOptions -XX:SymbolTableSize=8192 -XX:CICompilerCount=1"
 # One arena: the C library would else keep freed memory for each thread.
 export MALLOC_ARENA_MAX=1
-exec java $archive -XX:-UsePerfData -Xms${heap}m -Xmx${heap}m -Xmn${young}m -Xss256k -XX:+UseSerialGC \
+exec java $archive $lean -XX:-UsePerfData -Xms${heap}m -Xmx${heap}m -Xmn${young}m -Xss256k -XX:+UseSerialGC \
     -XX:TieredStopAtLevel=1 $soon -XX:MaxMetaspaceSize=24m -XX:ReservedCodeCacheSize=16m -XX:MaxDirectMemorySize=4m \
     -jar target/tamarindroute.jar serve
--- a/src/main/java/tamarindroute/Main.java
+++ b/src/main/java/tamarindroute/Main.java
@@ -1,6 +1,14 @@
 package tamarindroute;
 
 import java.io.IOException;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import tamarindroute.gateway.Gateway;
 import tamarindroute.log.Log;
 import tamarindroute.settings.MalformedSettingsException;
@@ -33,7 +41,41 @@
                     System.exit(code);
                 }
             }
-            default -> tamarindroute.cli.Commands.main(arguments);
+            default -> more(arguments);
+        }
+    }
+
+    /**
+     * Starts the command line with all libraries. Those in lib/more are off the jar's own class path: each jar there
+     * costs a gateway memory though nothing of it is used. So the program is loaded anew with them.
+     */
+    private static void more(String[] arguments) {
+        try {
+            Class.forName("picocli.CommandLine");
+            tamarindroute.cli.Commands.main(arguments);
+            return;
+        } catch (ClassNotFoundException e) {
+            // Started from the jar: go on below.
+        }
+        try {
+            Path jar = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            List<URL> all = new ArrayList<>(List.of(jar.toUri().toURL()));
+            for (String folder : new String[] {"lib", "lib/more"}) {
+                try (DirectoryStream<Path> jars = Files.newDirectoryStream(jar.resolveSibling(folder), "*.jar")) {
+                    for (Path library : jars) {
+                        all.add(library.toUri().toURL());
+                    }
+                }
+            }
+            // Open as long as the process: the commands' threads load from it.
+            @SuppressWarnings("resource")
+            ClassLoader loader = new URLClassLoader(all.toArray(new URL[0]), ClassLoader.getPlatformClassLoader());
+            Thread.currentThread().setContextClassLoader(loader);
+            Class.forName("tamarindroute.cli.Commands", true, loader).getMethod("main", String[].class)
+                    .invoke(null, (Object) arguments);
+        } catch (ReflectiveOperationException | IOException | URISyntaxException e) {
+            System.err.println("the libraries in lib/more beside the jar can't be loaded: " + e);
+            System.exit(FAILED);
         }
     }
 
--- a/src/main/java/tamarindroute/cli/Commands.java
+++ b/src/main/java/tamarindroute/cli/Commands.java
@@ -1,5 +1,7 @@
 package tamarindroute.cli;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -7,13 +9,19 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import tamarindroute.Brain;
 import tamarindroute.Main;
+import tamarindroute.config.ServiceSettings;
+import tamarindroute.config.UnusableException;
 import tamarindroute.log.Log;
+import tamarindroute.nameserver.NameServer;
+import tamarindroute.settings.MalformedSettingsException;
 
 /** The subcommands with their help; what each does stands elsewhere. */
 @Command(name = "tamarindroute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Decides where objects are served, kept and filled from.",
-        subcommands = {Commands.Serve.class, Commands.WireHost.class, CommandLine.HelpCommand.class},
+        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Dns.class, Ask.class,
+            Commands.ConfigGroup.class, CommandLine.HelpCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a peer, a file or the machine failed; the message says how",
             "2:the command line's words are off", "3:a configuration or a frame can't be used"})
@@ -71,6 +79,59 @@
         }
     }
 
+    @Command(name = "dns", mixinStandardHelpOptions = true,
+            description = "Be a name server that steers clients by the module's decisions.")
+    static final class Dns implements Callable<Integer> {
+
+        @CommandLine.Mixin
+        private Logging logging;
+
+        @CommandLine.Parameters(paramLabel = "FILE", description = "settings in XML, see deploy/dns.xml")
+        private Path file;
+
+        @Override
+        public Integer call() throws IOException {
+            logging.choose();
+            NameServer.start(file, Brain::new);
+            return 0;
+        }
+    }
+
+    @Command(name = "config", mixinStandardHelpOptions = true, description = "Work on settings files.",
+            subcommands = Commands.Check.class)
+    static final class ConfigGroup implements Runnable {
+
+        @Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new ParameterException(spec.commandLine(), "a subcommand is missing");
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Read settings and the files that they name, and tell all that is wrong in them.")
+    static final class Check implements Callable<Integer> {
+
+        @CommandLine.Parameters(paramLabel = "FILE", description = "settings in XML")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            try {
+                ServiceSettings settings = ServiceSettings.read(file);
+                System.out.println(file + ": sound, " + settings.dns().zones().size() + " zones, "
+                        + (settings.dns().steer() == null ? 0 : settings.dns().steer().locations().size())
+                        + " locations");
+                return 0;
+            } catch (UnusableException e) {
+                e.faults().forEach(System.err::println);
+                return Main.MALFORMED;
+            }
+        }
+    }
+
     /** Runs a command; a code other than 0 ends the process, 0 leaves it to the threads that were started. */
     public static void main(String[] arguments) {
         int code = line().execute(arguments);
@@ -83,7 +144,7 @@
         return new CommandLine(new Commands()).setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler((failure, command, parsed) -> {
                     System.err.println(command.getCommandName() + ": " + failure.getMessage());
-                    return failure instanceof tamarindroute.settings.MalformedSettingsException
+                    return failure instanceof MalformedSettingsException || failure instanceof UnusableException
                             ? Main.MALFORMED : Main.FAILED;
                 });
     }
--- /dev/null
+++ b/src/main/java/tamarindroute/config/Element.java
@@ -0,0 +1,172 @@
+package tamarindroute.config;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.parsers.SAXParserFactory;
+import javax.xml.transform.stream.StreamSource;
+import javax.xml.validation.Schema;
+import javax.xml.validation.SchemaFactory;
+import javax.xml.validation.ValidatorHandler;
+import org.xml.sax.Attributes;
+import org.xml.sax.InputSource;
+import org.xml.sax.Locator;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+import org.xml.sax.XMLReader;
+import org.xml.sax.helpers.DefaultHandler;
+
+/** One element of a file that keeps to the schema, with the schema's defaults filled in, and where it stands. */
+final class Element {
+
+    private static final String SCHEMA = "tamarindroute.xsd";
+    /** A thousand locations with a thousand networks each have no place in one file. */
+    private static final long LARGEST = 4 << 20;
+    private static final int MOST_FAULTS = 100;
+
+    final String name;
+    final int line;
+    final int column;
+    private final Map<String, String> attributes = new HashMap<>();
+    private final List<Element> children = new ArrayList<>();
+
+    private Element(String name, int line, int column) {
+        this.name = name;
+        this.line = line;
+        this.column = column;
+    }
+
+    /** The attribute; null where it is absent and has no default. */
+    String text(String attribute) {
+        return attributes.get(attribute);
+    }
+
+    int whole(String attribute) {
+        return Integer.parseInt(attributes.get(attribute).strip());
+    }
+
+    List<Element> all(String child) {
+        return children.stream().filter(one -> one.name.equals(child)).toList();
+    }
+
+    /** The one child of this name; null where it is absent. */
+    Element one(String child) {
+        return all(child).stream().findFirst().orElse(null);
+    }
+
+    /** Reads a file; what keeps it from being one of the schema goes to the faults, and null comes back. */
+    static Element read(Path file, List<Fault> faults) {
+        try {
+            if (Files.size(file) > LARGEST) {
+                faults.add(new Fault(file.toString(), 0, 0, "larger than " + LARGEST + " bytes"));
+                return null;
+            }
+            SAXParserFactory parsers = SAXParserFactory.newInstance();
+            parsers.setNamespaceAware(true);
+            parsers.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+            // No external entities, and no internal ones that grow: a file that declares any is refused.
+            parsers.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+            ValidatorHandler validator = schema().newValidatorHandler();
+            Tree tree = new Tree(file.toString(), faults);
+            validator.setContentHandler(tree);
+            validator.setErrorHandler(tree);
+            XMLReader reader = parsers.newSAXParser().getXMLReader();
+            reader.setContentHandler(validator);
+            reader.setErrorHandler(tree);
+            try (InputStream in = Files.newInputStream(file)) {
+                reader.parse(new InputSource(in));
+            }
+            return tree.broken ? null : tree.root;
+        } catch (SAXParseException e) {
+            // Told by the handler already.
+            return null;
+        } catch (IOException e) {
+            faults.add(new Fault(file.toString(), 0, 0, "can't be read: " + e));
+            return null;
+        } catch (SAXException | ParserConfigurationException e) {
+            faults.add(new Fault(file.toString(), 0, 0, e.getMessage()));
+            return null;
+        }
+    }
+
+    private static Schema schema() throws SAXException {
+        SchemaFactory schemas = SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI);
+        schemas.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+        schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
+        schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
+        return schemas.newSchema(new StreamSource(Element.class.getResourceAsStream(SCHEMA)));
+    }
+
+    /** Gathers the elements, and the faults with their places. */
+    private static final class Tree extends DefaultHandler {
+
+        private final String file;
+        private final List<Fault> faults;
+        private final ArrayDeque<Element> open = new ArrayDeque<>();
+        private Locator locator;
+        private Element root;
+        private boolean broken;
+
+        Tree(String file, List<Fault> faults) {
+            this.file = file;
+            this.faults = faults;
+        }
+
+        @Override
+        public void setDocumentLocator(Locator here) {
+            locator = here;
+        }
+
+        @Override
+        public void startElement(String uri, String name, String qualified, Attributes told) {
+            Element element = new Element(name, locator == null ? 0 : locator.getLineNumber(),
+                    locator == null ? 0 : locator.getColumnNumber());
+            for (int i = 0; i < told.getLength(); i++) {
+                element.attributes.put(told.getLocalName(i), told.getValue(i));
+            }
+            if (open.isEmpty()) {
+                root = element;
+            } else {
+                open.peek().children.add(element);
+            }
+            open.push(element);
+        }
+
+        @Override
+        public void endElement(String uri, String name, String qualified) {
+            open.pop();
+        }
+
+        @Override
+        public void warning(SAXParseException e) {
+            error(e);
+        }
+
+        @Override
+        public void error(SAXParseException e) {
+            broken = true;
+            if (faults.size() < MOST_FAULTS) {
+                faults.add(new Fault(file, e.getLineNumber(), e.getColumnNumber(), plain(e.getMessage())));
+            }
+        }
+
+        @Override
+        public void fatalError(SAXParseException e) throws SAXException {
+            error(e);
+            throw e;
+        }
+
+        /** The validator's words without its rule's number and the namespace. */
+        private static String plain(String message) {
+            return message.replaceFirst("^[a-zA-Z0-9.\\-]+: ", "").replace("\"urn:tamarindroute:settings:1\":", "");
+        }
+    }
+}
--- a/src/main/java/tamarindroute/gateway/Book.java
+++ b/src/main/java/tamarindroute/gateway/Book.java
@@ -9,6 +9,7 @@
 import tamarindroute.decision.Outcome.Detail;
 import tamarindroute.decision.Outcome.Result;
 import tamarindroute.host.Clock;
+import tamarindroute.host.Report;
 import tamarindroute.log.Log;
 import tamarindroute.protocol.Fields;
 import tamarindroute.protocol.MalformedException;
@@ -29,9 +30,8 @@
             "src_lacks", Detail.SOURCE_LACKS, "no_slot", Detail.NO_ROOM_FOR_FILL,
             "origin_failed", Detail.ORIGIN_FAILED);
 
-    /** What a cache tells is in these bounds, or it is none: a wait in milliseconds, the part that is busy. */
+    /** What a cache tells of a wait in milliseconds is within this, or it is none. */
     private static final double LONGEST_TOLD = 1e6;
-    private static final double MOST_BUSY = 100;
 
     private final Clock clock;
     private final Decisions decisions;
@@ -70,13 +70,9 @@
     }
 
     private void report(Send.TripOut out, Fields fields) throws MalformedException {
-        String report = fields.text("rep");
-        if (report != null) {
-            Fields values = Fields.read(report.replace(':', '=').replace(';', ','));
-            double busy = values.number("util", values.number("utilization", -1, MOST_BUSY), MOST_BUSY);
-            if (busy >= 0) {
-                decisions.loaded(out.trip.cache, new Load(busy), clock.now());
-            }
+        Load load = Report.load(fields);
+        if (load != null) {
+            decisions.loaded(out.trip.cache, load, clock.now());
         }
     }
 
--- a/src/main/java/tamarindroute/host/Roster.java
+++ b/src/main/java/tamarindroute/host/Roster.java
@@ -7,6 +7,7 @@
 import com.google.gson.JsonParser;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -50,6 +51,9 @@
     private boolean listed;
     private int gaps;
     private Runnable whenListed = () -> { };
+    private Runnable whenChanged = () -> { };
+    private List<Cache> caches = List.of();
+    private Duration heardAt;
 
     /** A cache, its id and connections, and how many trips that are out name it. */
     private static final class Entry {
@@ -83,6 +87,26 @@
         return entryOf.get(cache).line;
     }
 
+    /** Where clients of the cache reach it. */
+    public InetSocketAddress address(Cache cache) {
+        return entryOf.get(cache).line.address();
+    }
+
+    /** The caches on the list, without those that are gone; in the order of their ids' marks. */
+    public List<Cache> caches() {
+        return caches;
+    }
+
+    /** When the feed last gave an answer that could be read; null before. */
+    public Duration heardAt() {
+        return heardAt;
+    }
+
+    /** Told after each change of the list, once the modules know of it. */
+    public void whenChanged(Runnable task) {
+        whenChanged = task;
+    }
+
     /** A trip goes out, or has come back and been judged: a cache that is gone is forgotten when none is out. */
     public void out(Trip trip, int change) {
         entryOf.get(trip.cache).out += change;
@@ -113,6 +137,7 @@
     public void read(String text) throws MalformedException {
         try {
             read(JsonParser.parseString(text).getAsJsonObject());
+            heardAt = clock.now();
         } catch (JsonParseException | IllegalStateException e) {
             throw new MalformedException("no events: " + e.getMessage());
         }
@@ -191,19 +216,21 @@
             entries.forEach((id, entry) -> entry.cache.standing =
                     told.contains(id) ? entry.cache.standing : Cache.Standing.GONE);
         }
-        List<Cache> caches = entries.values().stream()
+        List<Cache> all = entries.values().stream()
                 .sorted(Comparator.comparingLong((Entry entry) -> entry.cache.mark).thenComparing(entry -> entry.id))
                 .map(entry -> entry.cache).toList();
-        modules.forEach(module -> module.listed(caches, clock.now()));
+        modules.forEach(module -> module.listed(all, clock.now()));
         // Told once as gone, it is forgotten, or the list would grow with each cache that was ever replaced.
         entries.values().stream().filter(entry -> entry.cache.standing == Cache.Standing.GONE)
                 .forEach(entry -> entry.line.letGo());
         entries.values().removeIf(entry -> entry.cache.standing == Cache.Standing.GONE && entry.out == 0);
         entryOf.values().retainAll(entries.values());
+        caches = all.stream().filter(cache -> cache.standing != Cache.Standing.GONE).toList();
         if (!listed) {
             listed = true;
             whenListed.run();
         }
+        whenChanged.run();
     }
 
     /** Reads an entry whole before it changes anything; what a change leaves out stays as it was. */
--- a/src/main/java/tamarindroute/net/CacheLine.java
+++ b/src/main/java/tamarindroute/net/CacheLine.java
@@ -71,6 +71,13 @@
         return () -> link.quit(id, asked);
     }
 
+    /** Asks the cache how it is; an answer's word is READY or AILING, its fields hold the report. */
+    public Runnable probe(String tag, Asked asked) {
+        Link link = pick(tag);
+        link.ask(tag, new Request(asked, null, List.of(), 0));
+        return () -> link.quit(tag, asked);
+    }
+
     /**
      * The cache is gone: connections are closed as their last request ends, and those that are coming up at once,
      * for whoever has the address by now is another.
@@ -107,6 +114,7 @@
 
     private static final class Request {
         final Asked asked;
+        final boolean probe;
         String fields;
         Iterable<IoBuffer> body;
         final int length;
@@ -115,6 +123,7 @@
 
         Request(Asked asked, String fields, Iterable<IoBuffer> body, int length) {
             this.asked = asked;
+            this.probe = fields == null;
             this.fields = fields;
             this.body = body;
             this.length = length;
@@ -167,6 +176,12 @@
 
         private void write(String id, Request request) {
             usedAt = timers.now();
+            request.writtenAt = usedAt;
+            if (request.probe) {
+                connection.write(RespWriter.frame("INFO", id));
+                request.end = connection.written();
+                return;
+            }
             ArrayDeque<IoBuffer> frame = new ArrayDeque<>();
             Connection.copy(RespWriter.opening(request.length, "ASK", id, request.fields), sockets.pool(), frame);
             for (IoBuffer part : request.body) {
@@ -175,7 +190,6 @@
             Connection.copy(RespWriter.closing(), sockets.pool(), frame);
             connection.write(frame);
             request.end = connection.written();
-            request.writtenAt = usedAt;
             request.fields = null;
             request.body = null;
         }
@@ -187,7 +201,9 @@
             }
             open.remove(id);
             if (up && request.end != Long.MAX_VALUE) {
-                connection.write(RespWriter.frame("QUIT", id));
+                if (!request.probe) {
+                    connection.write(RespWriter.frame("QUIT", id));
+                }
                 // A machine that vanished leaves its connections open and silent, for good: the next request
                 // takes a new one, which comes up only if the machine is there.
                 mute |= heardAt.compareTo(request.writtenAt) < 0;
--- a/src/main/java/tamarindroute/net/Connection.java
+++ b/src/main/java/tamarindroute/net/Connection.java
@@ -1,5 +1,6 @@
 package tamarindroute.net;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -71,6 +72,11 @@
         session.write(buffer).addListener(done -> buffer.free());
     }
 
+    /** The other side's address, once the connection is up; null where it has gone already. */
+    public InetSocketAddress remote() {
+        return session == null ? null : (InetSocketAddress) session.getRemoteAddress();
+    }
+
     /** When the bytes that the peer is being given came; a backlog of this gateway's own lies between. */
     public Duration readAt() {
         return readAt;
--- /dev/null
+++ b/src/main/java/tamarindroute/resolver/Kept.java
@@ -0,0 +1,117 @@
+package tamarindroute.resolver;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.SOARecord;
+import org.xbill.DNS.Section;
+
+/**
+ * Owns the answers that are kept: for their TTL, what says no for its SOA's (RFC 2308), and past that, marked as
+ * stale, for a bounded time while nobody answers (RFC 8767). It must never lengthen a TTL, nor keep more than its
+ * bound of answers.
+ */
+public final class Kept {
+
+    /** An hour, whatever the TTL says: a mistake at another's is not kept for a week. */
+    private static final long LONGEST = 3600;
+    /** RFC 2308 wants no more than some minutes for what says no. */
+    private static final long LONGEST_NO = 300;
+    /** RFC 8767: a stale answer is given for half a minute at a time. */
+    private static final long STALE_TTL = 30;
+    /** A few megabytes of answers at the largest that is kept. */
+    private static final int MOST = 2048;
+    private static final int LARGEST = 4096;
+
+    /** What is asked; the class is always IN. */
+    public record Asked(Name name, int type) { }
+
+    /** An answer as it is given out now. */
+    public record Found(Message message, boolean stale) { }
+
+    private record Entry(int rcode, List<Record> answer, List<Record> authority, Duration since, Duration until) { }
+
+    private final Map<Asked, Entry> entries = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Asked, Entry> eldest) {
+            return size() > MOST;
+        }
+    };
+
+    /** Keeps a checked answer, where it says for how long. */
+    public void keep(Asked asked, Message message, Duration now) {
+        List<Record> answer = List.copyOf(message.getSection(Section.ANSWER));
+        List<Record> authority = List.copyOf(message.getSection(Section.AUTHORITY));
+        long ttl;
+        if (answer.isEmpty() || message.getRcode() != 0) {
+            ttl = authority.stream().filter(SOARecord.class::isInstance)
+                    .mapToLong(soa -> Math.min(soa.getTTL(), ((SOARecord) soa).getMinimum())).min().orElse(0);
+            ttl = Math.min(LONGEST_NO, ttl);
+        } else {
+            ttl = Math.min(LONGEST, answer.stream().mapToLong(Record::getTTL).min().orElse(0));
+        }
+        if (ttl > 0 && message.numBytes() <= LARGEST) {
+            entries.put(asked, new Entry(message.getRcode(), answer, authority, now,
+                    now.plusSeconds(ttl)));
+        }
+    }
+
+    /** What is kept for this question and holds still; null for nothing. */
+    public Found fresh(Asked asked, Duration now) {
+        Entry entry = entries.get(asked);
+        return entry == null || entry.until.compareTo(now) <= 0 ? null
+                : new Found(message(asked, entry, now.minus(entry.since).toSeconds(), Long.MAX_VALUE), false);
+    }
+
+    /** What held until so long ago at the most; null for nothing. */
+    public Found stale(Asked asked, Duration longest, Duration now) {
+        Entry entry = entries.get(asked);
+        if (entry == null) {
+            return null;
+        }
+        if (entry.until.plus(longest).compareTo(now) <= 0) {
+            entries.remove(asked);
+            return null;
+        }
+        boolean past = entry.until.compareTo(now) <= 0;
+        return new Found(message(asked, entry, now.minus(entry.since).toSeconds(), past ? STALE_TTL : Long.MAX_VALUE),
+                past);
+    }
+
+    private static Message message(Asked asked, Entry entry, long age, long most) {
+        Message message = new Message();
+        message.getHeader().setRcode(entry.rcode);
+        message.addRecord(Record.newRecord(asked.name(), asked.type(), 1), Section.QUESTION);
+        for (Record record : aged(entry.answer, age, most)) {
+            message.addRecord(record, Section.ANSWER);
+        }
+        for (Record record : aged(entry.authority, age, most)) {
+            message.addRecord(record, Section.AUTHORITY);
+        }
+        return message;
+    }
+
+    private static List<Record> aged(List<Record> records, long age, long most) {
+        List<Record> aged = new ArrayList<>();
+        for (Record record : records) {
+            long left = Math.min(LONGEST, record.getTTL()) - age;
+            // Past its time it is given out for the stale span; before, for what is left.
+            long ttl = most == Long.MAX_VALUE ? Math.max(0, left) : most;
+            aged.add(Record.newRecord(record.getName(), record.getType(), record.getDClass(), ttl,
+                    record.rdataToWireCanonical()));
+        }
+        return aged;
+    }
+
+    /** How many answers are kept; for tests of the bound. */
+    int size() {
+        return entries.size();
+    }
+}
