--- a/src/main/java/tamarindroute/cli/Ask.java
+++ b/src/main/java/tamarindroute/cli/Ask.java
@@ -85,7 +85,7 @@
             description = "how long to wait (default: 2000)")
     private int within;
 
-    private final Clock clock = new Clock();
+    private Clock clock;
     private final CompletableFuture<byte[]> answer = new CompletableFuture<>();
 
     @Override
@@ -96,6 +96,7 @@
         }
         InetSocketAddress address = ServiceSettings.address(server);
         Message query = query();
+        clock = new Clock();
         Datagrams datagrams = new Datagrams(clock);
         Sockets sockets = new Sockets(clock, new Pool(MEMORY), DESCRIPTORS);
         long from = System.nanoTime();
--- a/src/main/java/tamarindroute/cli/Commands.java
+++ b/src/main/java/tamarindroute/cli/Commands.java
@@ -66,7 +66,8 @@
         @Override
         public Integer call() {
             logging.choose();
-            return Main.run("serve");
+            int code = Main.run("serve");
+            return code == 0 ? GOES_ON : code;
         }
     }
 
@@ -93,7 +94,7 @@
         public Integer call() throws IOException {
             logging.choose();
             NameServer.start(file, Brain::new);
-            return 0;
+            return GOES_ON;
         }
     }
 
@@ -132,10 +133,13 @@
         }
     }
 
-    /** Runs a command; a code other than 0 ends the process, 0 leaves it to the threads that were started. */
+    /** What a command returns that goes on in threads of its own. */
+    private static final int GOES_ON = -1;
+
+    /** Runs a command and ends the process with its code, unless it goes on; libraries may leave threads behind. */
     public static void main(String[] arguments) {
         int code = line().execute(arguments);
-        if (code != 0) {
+        if (code != GOES_ON) {
             System.exit(code);
         }
     }
