--- a/src/main/java/tamarindroute/dns/Ledger.java
+++ b/src/main/java/tamarindroute/dns/Ledger.java
@@ -12,10 +12,14 @@
  */
 final class Ledger {
 
-    /** A life is told to a sixty-fourth of the longest, which overstates the load by less than that. */
-    private static final int SLOTS = 64;
-    /** Far more addresses than a list names; past it new ones are refused, which steers nobody there. */
-    private static final int MOST = 20_000;
+    /**
+     * A life is told to this part of the longest, which overstates the load by less than that. With 64 slots, cohorts
+     * of resolvers that came back together were still on the account, and were sent elsewhere in turn: shares were
+     * off by half.
+     */
+    private static final int SLOTS = 256;
+    /** More addresses than a list names, of 2 KB each; past it new ones are refused, which steers nobody there. */
+    private static final int MOST = 10_000;
 
     private final long slot;
     private final Map<Object, Account> accounts = new HashMap<>();
--- a/src/main/java/tamarindroute/dns/Responder.java
+++ b/src/main/java/tamarindroute/dns/Responder.java
@@ -304,7 +304,7 @@
                 glue(draft, zone, ((org.xbill.DNS.NSRecord) record).getTarget());
             });
         } else {
-            if (said.isNXDOMAIN()) {
+            if (said.isNXDOMAIN() && !zone.exists(name)) {
                 draft.code = Rcode.NXDOMAIN;
             }
             negative(draft, zone, null);
--- a/src/main/java/tamarindroute/dns/ZoneData.java
+++ b/src/main/java/tamarindroute/dns/ZoneData.java
@@ -1,8 +1,10 @@
 package tamarindroute.dns;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import org.xbill.DNS.Name;
 import org.xbill.DNS.RRset;
 import org.xbill.DNS.Record;
@@ -15,6 +17,8 @@
 public final class ZoneData {
 
     private final Zone zone;
+    /** Names without records of their own, but with others below: they are there, which dnsjava's Zone denies. */
+    private final Set<Name> between = new HashSet<>();
 
     /** Throws where the records make no zone: no SOA or NS at the origin, or records outside of it. */
     public ZoneData(Name origin, List<Record> records) throws IOException {
@@ -27,6 +31,11 @@
             }
         }
         zone = new Zone(origin, records.toArray(new Record[0]));
+        for (Record record : records) {
+            for (Name above = record.getName(); above.labels() > origin.labels(); above = new Name(above, 1)) {
+                between.add(above);
+            }
+        }
     }
 
     public Name origin() {
@@ -46,6 +55,11 @@
         return zone.findRecords(name, type);
     }
 
+    /** Whether this name is there, if only for names below it. */
+    public boolean exists(Name name) {
+        return between.contains(name);
+    }
+
     /** Whether records stand at this very name, not by a wildcard. */
     public boolean has(Name name) {
         for (Iterator<RRset> sets = zone.iterator(); sets.hasNext();) {
--- a/src/main/java/tamarindroute/resolver/Upstreams.java
+++ b/src/main/java/tamarindroute/resolver/Upstreams.java
@@ -116,7 +116,9 @@
     public void answered(Upstream upstream, Duration took, Duration now) {
         over(upstream, now);
         upstream.good++;
-        upstream.took += 0.2 * (Math.min(seconds(took), LONGEST_WAIT) - upstream.took);
+        double sample = Math.min(seconds(took), LONGEST_WAIT);
+        // What silence had stretched comes down soon: with a fifth each, one that came back was shunned for minutes.
+        upstream.took += (sample < upstream.took ? 0.5 : 0.2) * (sample - upstream.took);
     }
 
     /** It did not answer, or with nothing that could be used; silence takes longer than a refusal. */
--- /dev/null
+++ b/src/test/java/tamarindroute/ArchitectureTest.java
@@ -0,0 +1,76 @@
+package tamarindroute;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Which package may know which: the rules that each package's opening paragraph tells. */
+class ArchitectureTest {
+
+    private static final JavaClasses PROGRAM = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("tamarindroute");
+    private static final String[] FRONTS = {"gateway", "wirehost", "nameserver"};
+
+    @Test
+    void theModuleAndItsInterfaceAreFreeOfIo() {
+        noClasses().that().resideInAPackage("tamarindroute.decision").or().haveSimpleName("Brain")
+                .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..",
+                "java.nio.file..", "java.util.concurrent..", "org..", "com..", "tamarindroute.net..",
+                "tamarindroute.host..", "tamarindroute.log..", "tamarindroute.protocol..").check(PROGRAM);
+    }
+
+    @Test
+    void whatDecidesForNamesHasNoSocketsFilesThreadsOrClocks() {
+        noClasses().that().resideInAPackage("tamarindroute.dns").should().dependOnClassesThat()
+                .resideInAnyPackage("java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
+                "org.apache.mina..", "tamarindroute.net..", "tamarindroute.host..", "tamarindroute.resolver..")
+                .check(PROGRAM);
+        noClasses().that().resideInAPackage("tamarindroute.dns").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(java.time.Instant.class, "now").check(PROGRAM);
+    }
+
+    @Test
+    void onlyTheForwarderSendsQuestions() {
+        noClasses().that().resideInAPackage("tamarindroute.resolver").and().doNotHaveSimpleName("Forwarder")
+                .and().haveNameNotMatching(".*Forwarder\\$.*").should().dependOnClassesThat()
+                .resideInAnyPackage("tamarindroute.net..", "org.apache.mina..", "java.util.concurrent..")
+                .check(PROGRAM);
+    }
+
+    @Test
+    void frontsDoNotKnowEachOther() {
+        for (String front : FRONTS) {
+            for (String other : FRONTS) {
+                if (!front.equals(other)) {
+                    noClasses().that().resideInAPackage("tamarindroute." + front).should().dependOnClassesThat()
+                            .resideInAPackage("tamarindroute." + other).check(PROGRAM);
+                }
+            }
+            noClasses().that().resideInAnyPackage("tamarindroute.host", "tamarindroute.net", "tamarindroute.protocol",
+                    "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.log", "tamarindroute.dns",
+                    "tamarindroute.resolver").should().dependOnClassesThat()
+                    .resideInAPackage("tamarindroute." + front).check(PROGRAM);
+        }
+    }
+
+    /** Each such library costs a gateway of 32 MB memory it does not have; they are off its class path. */
+    @Test
+    void theGatewayUsesNoneOfTheOtherCommandsLibraries() {
+        noClasses().that().resideInAnyPackage("tamarindroute.gateway", "tamarindroute.host", "tamarindroute.net",
+                "tamarindroute.protocol", "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.wirehost")
+                .or().haveSimpleName("Brain").or().haveSimpleName("Log").or().haveSimpleName("Small")
+                .should().dependOnClassesThat()
+                .resideInAnyPackage("picocli..", "ch.qos.logback..", "org.xbill..").check(PROGRAM);
+    }
+
+    @Test
+    void onlyTheLogPackageKnowsWhoWritesLines() {
+        classes().that().resideOutsideOfPackage("tamarindroute.log").should().onlyDependOnClassesThat()
+                .resideOutsideOfPackages("org.slf4j..", "ch.qos.logback..").check(PROGRAM);
+    }
+}
