--- a/bench/tamarindroute/bench/Convergence.java
+++ b/bench/tamarindroute/bench/Convergence.java
@@ -16,14 +16,15 @@
 /**
  * In simulated time: resolvers that keep answers for their TTL steer a location's load; one of its caches is gone for
  * 30 s and comes back cold. What reaches it, as a part of what pushes it over, by steering, by plain round-robin
- * and by weighted round-robin with its full weight, each with a TTL of 30 s as such servers are commonly set up;
- * and the error of the shares in the calm before.
+ * and by weighted round-robin (the cache has twice the others' weight there); and the error of the shares in the
+ * calm before.
  */
 public final class Convergence {
 
     private static final int EDGES = 6;
     private static final int RESOLVERS = 300;
-    private static final double FIXED_TTL = 30;
+    /** As such servers are commonly set up, and so short that a drain's clients are soon gone. */
+    private static final double[] FIXED_TTLS = {30, 2};
     private static final double GONE = 100;
     private static final double BACK = 130;
     private static final double END = 220;
@@ -42,18 +43,17 @@
         run(chart, "steering, 1 instance", one, now -> one.choose(0, now), one::ttl);
         Random which = new Random(8);
         run(chart, "steering, 4 instances", four, now -> four.choose(which.nextInt(4), now), four::ttl);
-        DnsFixture.Fleet plain = new DnsFixture.Fleet(EDGES, 1);
-        int[] turn = {0};
-        IntUnaryOperator next = ignored -> turn[0]++ % EDGES;
-        run(chart, "round-robin, TTL 30 s", plain, now -> listed(plain, next), () -> FIXED_TTL);
-        DnsFixture.Fleet weighted = new DnsFixture.Fleet(EDGES, 1);
-        weighted.weigh(1, 2);
-        int[] place = {0};
-        IntUnaryOperator byWeight = ignored -> {
-            int at = place[0]++ % (EDGES + 1);
-            return at == EDGES ? 1 : at;
-        };
-        run(chart, "weighted round-robin, TTL 30 s", weighted, now -> listed(weighted, byWeight), () -> FIXED_TTL);
+        for (double ttl : FIXED_TTLS) {
+            DnsFixture.Fleet plain = new DnsFixture.Fleet(EDGES, 1);
+            int[] turn = {0};
+            run(chart, "round-robin, TTL " + (int) ttl + " s", plain,
+                    now -> listed(plain, ignored -> turn[0]++ % EDGES), () -> ttl);
+            DnsFixture.Fleet weighted = new DnsFixture.Fleet(EDGES, 1);
+            weighted.weigh(0, 2);
+            int[] place = {0};
+            run(chart, "weighted round-robin, TTL " + (int) ttl + " s", weighted,
+                    now -> listed(weighted, ignored -> Math.max(0, place[0]++ % (EDGES + 1) - 1)), () -> ttl);
+        }
         BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
         System.out.println("plot: " + file);
     }
--- a/src/main/java/tamarindroute/dns/Steering.java
+++ b/src/main/java/tamarindroute/dns/Steering.java
@@ -100,7 +100,8 @@
         boolean lost = fleet.silent(now).compareTo(settings.staleFor()) > 0;
         boolean late = fleet.silent(now).compareTo(LATE) > 0;
         List<Candidate> all = candidates(wish, location, now);
-        Duration ttl = late ? settings.leastTtl() : ttl(location, now);
+        Duration ttl = late ? settings.leastTtl() : ttl(location, now,
+                passed(wish) ? candidates(new Wish.AnyOf(location), location, now) : all);
         List<Candidate> known = lost ? all.stream().filter(c -> fleet.proven(c.cache, now)).toList() : all;
         if (known.isEmpty() && lost && !all.isEmpty()) {
             return Choice.nobody(Reason.FEED_LOST, Duration.ZERO);
@@ -156,7 +157,7 @@
     private List<Candidate> candidates(Wish wish, Location location, Duration now) {
         Decisions module = modules.get(location.label());
         List<Cache> caches;
-        if (wish instanceof Wish.ForProfile profile && !profile.profile().kept() && settings.direct()) {
+        if (passed(wish)) {
             // What can't be kept runs at the origin where it may be reached straight, as a gateway's views do.
             caches = fleet.caches().stream().filter(cache -> cache.tier == Cache.Tier.ORIGIN).toList();
         } else {
@@ -176,17 +177,22 @@
      * The shortest while an edge of the location drains, is cold or is judged bad; else by the time that the list
      * there has not changed.
      */
-    private Duration ttl(Location location, Duration now) {
-        List<Object> state = new ArrayList<>();
+    private Duration ttl(Location location, Duration now, List<Candidate> edges) {
+        // The same whatever the order, which is the wish's own.
+        long state = edges.size();
         boolean unsettled = false;
-        for (Candidate one : candidates(new Wish.AnyOf(location), location, now)) {
-            Regard regard = one.regard;
-            state.add(one.place);
-            unsettled |= !regard.ready() || regard.cold() || regard.barred();
+        for (Candidate one : edges) {
+            state += one.place.hashCode() * 0x9e3779b97f4a7c15L;
+            unsettled |= !one.regard.ready() || one.regard.cold() || one.regard.barred();
         }
         return calms.get(location.label()).ttl(state, unsettled, now);
     }
 
+    /** Whether this wish goes past the edges. */
+    private boolean passed(Wish wish) {
+        return wish instanceof Wish.ForProfile profile && !profile.profile().kept() && settings.direct();
+    }
+
     private boolean usable(Candidate one, double load, Duration now) {
         return one.regard.ready() && !one.regard.barred() && bears(one, load, now);
     }
--- a/src/test/java/tamarindroute/nameserver/NameServerIT.java
+++ b/src/test/java/tamarindroute/nameserver/NameServerIT.java
@@ -197,6 +197,56 @@
         assertThat(most).as("it is not left out").isGreaterThanOrEqualTo(8);
     }
 
+    @Test
+    void aMassRestartGivesEachCacheItsBoundAndTheRestIsTurnedAwayAtOnce() throws Exception {
+        Program program = program(4, 1, "", ZONE + steer(1) + FREE);
+        program.ask("shed-3.sheds.example", 1000);
+        TimeUnit.MILLISECONDS.sleep(1200);
+        long started = System.currentTimeMillis();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 4; i++) {
+            all.append(i == 0 ? "" : ",").append(Program.server(i, PORT, "ready", started));
+        }
+        feed.tell("{\"n\":N,\"members\":{\"version\":2,\"full\":true,\"servers\":[" + all + "]}}");
+        TimeUnit.MILLISECONDS.sleep(100);
+        Map<String, Integer> given = new HashMap<>();
+        int turnedAway = 0;
+        long from = System.nanoTime();
+        for (int i = 0; i < 300; i++) {
+            Message message = program.ask("shed-3.sheds.example", 1000);
+            if (message.getRcode() == Rcode.SERVFAIL) {
+                turnedAway++;
+                assertThat(message.getOPT().getOptions(15)).isNotEmpty();
+            }
+            Program.addresses(message).forEach(one -> given.merge(one, 1, Integer::sum));
+        }
+        double seconds = (System.nanoTime() - from) * 1e-9 + 0.2;
+        // Answers of a second ago may have run out and been given again meanwhile.
+        double most = 3 * 40 * (0.22 + 0.78 * seconds / 17) * Math.max(1, seconds);
+        assertThat(given).hasSize(4).allSatisfy((one, count) -> assertThat((double) count).isBetween(10.0, most));
+        assertThat(turnedAway).isPositive();
+    }
+
+    @Test
+    void aFeedLostInTheMidstOfADrainBringsNothingBackAndEndsInARefusalThatSaysWhy() throws Exception {
+        Program program = program(3, 1, "", ZONE + steer(1).replace("carries", "stale-for=\"PT8S\" carries") + FREE);
+        feed.tell(Program.event(1, PORT, "draining", 0));
+        await(() -> feed.asked.stream().anyMatch(one -> one.contains("SUB=2")));
+        feed.close();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        boolean late = false;
+        boolean refused = false;
+        while (!refused && System.nanoTime() < end) {
+            Message message = program.ask("shed-3.sheds.example", 1000);
+            assertThat(Program.addresses(message)).doesNotContain("127.0.1.2");
+            refused = message.getRcode() == Rcode.SERVFAIL;
+            late |= !refused && !message.getOPT().getOptions(15).isEmpty();
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(late).as("the last list, marked, before").isTrue();
+        assertThat(refused).isTrue();
+    }
+
     @Test
     void changedSettingsAreTakenUpWholeOrNotAtAll() throws Exception {
         Program program = program(4, 1, "", ZONE + steer(1) + FREE);
