--- a/bench/tamarindroute/bench/Convergence.java
+++ b/bench/tamarindroute/bench/Convergence.java
@@ -38,6 +38,7 @@
                 .title("Load steered to a cache that came back cold at 0 s (simulated)")
                 .xAxisTitle("seconds after its start").yAxisTitle("part of the load that pushes it over").build();
         chart.getStyler().setMarkerSize(0);
+        chart.getStyler().setDecimalPattern("0.##");
         DnsFixture.Fleet one = new DnsFixture.Fleet(EDGES, 1);
         DnsFixture.Fleet four = new DnsFixture.Fleet(EDGES, 4);
         run(chart, "steering, 1 instance", one, now -> one.choose(0, now), one::ttl);
@@ -125,7 +126,7 @@
             }
             if (now >= BACK) {
                 double part = load[0] / fleet.bound(0, now);
-                times.add(now - BACK);
+                times.add(Math.round((now - BACK) * 10) / 10.0);
                 parts.add(part);
                 worst = Math.max(worst, part);
                 double fair = fleet.share(0) * Arrays.stream(load).sum();
