Connections of clients keep to the settings; forwarded answers count once; one feed look-up at a time

Found in a second reading: the limit on connections was the descriptors' own, an answer that was handed on took two places in its network's limit, and each SIGHUP added a chain of look-ups. The first has a test over sockets.

--- a/src/main/java/tamarindroute/dns/Responder.java
+++ b/src/main/java/tamarindroute/dns/Responder.java
@@ -193,7 +193,8 @@
             }
         }
         draft.message.getHeader().setFlag(Flags.RA);
-        return finish(draft, pending.datagram, now, wall);
+        // Its place in the limit was taken when it was handed on.
+        return new Send(written(draft, pending.datagram, wall));
     }
 
     private void fill(Draft draft) {
@@ -396,8 +397,16 @@
         }
     }
 
-    /** Sets the options, holds the answer to its limits, and writes it. */
+    /** Writes the answer and holds it to its network's limit. */
     private Reply finish(Draft draft, boolean datagram, Duration now, Instant wall) {
+        byte[] bytes = written(draft, datagram, wall);
+        RateLimit.Sort sort = draft.code == Rcode.NOERROR ? RateLimit.Sort.ANSWER
+                : draft.code == Rcode.NXDOMAIN ? RateLimit.Sort.NOTHING : RateLimit.Sort.ERROR;
+        return limited(bytes, draft.query, draft.asker, datagram, sort, now, wall);
+    }
+
+    /** Sets the code and the options, counts the answer, and writes it within its size. */
+    private byte[] written(Draft draft, boolean datagram, Instant wall) {
         Message message = draft.message;
         message.getHeader().setRcode(draft.code & 0xF);
         tally.count(switch (draft.code) {
@@ -418,9 +427,7 @@
         if ((bytes[2] & 0x02) != 0) {
             tally.count(Tally.Event.CUT);
         }
-        RateLimit.Sort sort = draft.code == Rcode.NOERROR ? RateLimit.Sort.ANSWER
-                : draft.code == Rcode.NXDOMAIN ? RateLimit.Sort.NOTHING : RateLimit.Sort.ERROR;
-        return limited(bytes, draft.query, draft.asker, datagram, sort, now, wall);
+        return bytes;
     }
 
     private OPTRecord edns(Draft draft, Instant wall) {
--- a/src/main/java/tamarindroute/nameserver/NameServer.java
+++ b/src/main/java/tamarindroute/nameserver/NameServer.java
@@ -74,8 +74,10 @@
     private Responder responder;
     private Map<DnsSettings.Forwarded, Forwarder.Route> routes = Map.of();
     private Forwarder.Route lookUps;
+    private Runnable nextLookUp = () -> { };
     private boolean following;
     private int handedOn;
+    private int dropped;
     private boolean stopping;
 
     private NameServer(ServiceSettings settings, Function<Settings, Decisions> module) throws IOException {
@@ -140,6 +142,7 @@
         responder = newResponder;
         routes = newRoutes;
         settings = told;
+        instance.sockets().mostClients(limits.connections());
     }
 
     /** The secrets told, or one of this start's own. */
@@ -223,9 +226,6 @@
         if (!java.util.Objects.equals(told.dns().probing(), settings.dns().probing())) {
             later.add("probing");
         }
-        if (told.dns().limits().connections() != settings.dns().limits().connections()) {
-            later.add("connections");
-        }
         return later;
     }
 
@@ -280,7 +280,9 @@
             } else {
                 Log.event("feed-unknown", "its name can't be looked up", "name", feed);
             }
-            clock.after(found == null ? LOOK_UP_SOON : LOOKED_UP, () -> {
+            // One look-up is planned at a time, however often the settings are read again.
+            nextLookUp.run();
+            nextLookUp = clock.after(found == null ? LOOK_UP_SOON : LOOKED_UP, () -> {
                 if (feed.equals(settings.feed())) {
                     lookUp(feed);
                 }
@@ -319,6 +321,10 @@
 
     private void count() {
         Object[] named = tally.sinceLast();
+        if (datagrams.dropped() > dropped) {
+            Log.event("dns-flooded", "datagrams dropped unread", "dropped", datagrams.dropped() - dropped);
+            dropped = datagrams.dropped();
+        }
         if (named.length > 0) {
             Log.event("dns-counts", "in the last " + COUNTED.toSeconds() + " s", named);
         }
--- a/src/main/java/tamarindroute/net/Sockets.java
+++ b/src/main/java/tamarindroute/net/Sockets.java
@@ -53,7 +53,9 @@
     private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(Selecting.class, 1);
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
     private final NioSocketConnector connector = new NioSocketConnector(processor);
-    private final int mostAccepted;
+    /** Read on MINA's thread as well. */
+    private volatile int mostAccepted;
+    private final int mostByDescriptors;
     private final int mostConnected;
     private final AtomicInteger accepted = new AtomicInteger();
     private final Set<Connection> clients = new LinkedHashSet<>();
@@ -64,7 +66,8 @@
     public Sockets(Timers timers, Pool pool, int descriptors) {
         this.timers = timers;
         this.pool = pool;
-        this.mostAccepted = (descriptors - OWN_DESCRIPTORS) / 2;
+        this.mostByDescriptors = (descriptors - OWN_DESCRIPTORS) / 2;
+        this.mostAccepted = mostByDescriptors;
         this.mostConnected = (descriptors - OWN_DESCRIPTORS) / 2;
         IoBuffer.setAllocator(pool);
         configure(acceptor.getSessionConfig());
@@ -85,6 +88,11 @@
         config.setMaxReadBufferSize(Pool.SIZE);
     }
 
+    /** No more clients than this at once, where that is fewer than the descriptors allow. */
+    public void mostClients(int most) {
+        mostAccepted = Math.min(mostByDescriptors, most);
+    }
+
     public Pool pool() {
         return pool;
     }
--- a/src/test/java/tamarindroute/nameserver/NameServerIT.java
+++ b/src/test/java/tamarindroute/nameserver/NameServerIT.java
@@ -420,6 +420,28 @@
         assertThat(program.log()).doesNotContain("\"defect\"");
     }
 
+    @Test
+    void theConnectionOfNoUseForLongestGoesForANewOne() throws Exception {
+        Program program = program(2, 1, "", ZONE + steer(1) + "<limits answers-per-second=\"0\" connections=\"5\"/>\n");
+        List<Socket> sockets = new ArrayList<>();
+        byte[] query = Program.query("shed-3.sheds.example", Type.A, 1);
+        for (int i = 0; i < 8; i++) {
+            Socket socket = new Socket(program.address.getAddress(), program.address.getPort());
+            socket.setSoTimeout(2000);
+            socket.getOutputStream().write(new byte[] {0, (byte) query.length});
+            socket.getOutputStream().write(query);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            in.readFully(new byte[in.readUnsignedShort()]);
+            sockets.add(socket);
+        }
+        for (int i = 0; i < 3; i++) {
+            assertThat(sockets.get(i).getInputStream().read()).as("connection %d", i).isEqualTo(-1);
+        }
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     @Test
     void queriesOnOneConnectionAreAnsweredAndWhatIsLeftUnreadIsNotKept() throws Exception {
         Program program = program(4, 1, "", ZONE + steer(1) + FREE);
