--- a/src/main/java/tamarindroute/net/Datagrams.java
+++ b/src/main/java/tamarindroute/net/Datagrams.java
@@ -156,6 +156,15 @@
         }
     }
 
+    /** Sends a datagram from an address that is listened on; nothing is known of its fate. */
+    public void send(InetSocketAddress from, InetSocketAddress to, byte[] bytes) {
+        try {
+            acceptor.newSession(to, from).write(IoBuffer.wrap(bytes));
+        } catch (RuntimeException e) {
+            Log.line("net", e);
+        }
+    }
+
     /** Sends a datagram from a fresh port, of the machine's choice, and waits there; run what is returned to end it. */
     public Runnable ask(InetSocketAddress to, byte[] bytes, Waiting who) {
         if (asking >= MOST_ASKING) {
--- a/src/test/java/tamarindroute/ArchitectureTest.java
+++ b/src/test/java/tamarindroute/ArchitectureTest.java
@@ -34,6 +34,17 @@
                 .orShould().callMethod(java.time.Instant.class, "now").check(PROGRAM);
     }
 
+    @Test
+    void electionsHaveNoSocketsFilesThreadsOrClocks() {
+        noClasses().that().resideInAPackage("tamarindroute.vrrp").should().dependOnClassesThat()
+                .resideInAnyPackage("java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
+                "org.apache.mina..", "tamarindroute.net..", "tamarindroute.host..", "tamarindroute.log..")
+                .check(PROGRAM);
+        noClasses().that().resideInAPackage("tamarindroute.vrrp").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .check(PROGRAM);
+    }
+
     @Test
     void onlyTheForwarderSendsQuestions() {
         noClasses().that().resideInAPackage("tamarindroute.resolver").and().doNotHaveSimpleName("Forwarder")
@@ -53,7 +64,7 @@
             }
             noClasses().that().resideInAnyPackage("tamarindroute.host", "tamarindroute.net", "tamarindroute.protocol",
                     "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.log", "tamarindroute.dns",
-                    "tamarindroute.resolver").should().dependOnClassesThat()
+                    "tamarindroute.resolver", "tamarindroute.vrrp", "tamarindroute.standby").should().dependOnClassesThat()
                     .resideInAPackage("tamarindroute." + front).check(PROGRAM);
         }
     }
