A third voter: grants over UDP, a witness, and who may act only with most voters' word

Result over loopback with ways that can be cut: with both gateways cut from each other the one with the witness's word keeps the address alone; cut from the witness too it stops to act by itself before the other begins.

--- a/src/main/java/tamarindroute/standby/Endpoint.java
+++ b/src/main/java/tamarindroute/standby/Endpoint.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,9 @@
 import tamarindroute.net.Timers;
 import tamarindroute.protocol.MalformedException;
 import tamarindroute.vrrp.Advertisement;
+import tamarindroute.vrrp.Ballot;
 import tamarindroute.vrrp.Election;
+import tamarindroute.vrrp.Quorum;
 import tamarindroute.vrrp.Seal;
 
 /**
@@ -42,6 +45,9 @@
     private long number;
     private final Map<InetSocketAddress, Seal.Heard> heard = new HashMap<>();
     private final Map<Integer, Router> routers = new HashMap<>();
+    private final List<InetSocketAddress> voters = new ArrayList<>();
+    private Duration span;
+    private Booth booth;
 
     /** Without a seal the plain form of the standard is sent and taken; run is larger at each start of this gateway. */
     public Endpoint(Timers timers, Datagrams datagrams, InetSocketAddress own, List<InetSocketAddress> peers,
@@ -54,6 +60,18 @@
         this.run = run;
     }
 
+    /**
+     * From its start on, whoever is active acts only with the grants of more than half of the voters: these, witnesses among
+     * them, and this gateway itself. Needs a seal. The span is the same at all; three intervals are a lease's length.
+     */
+    public void askVoters(List<InetSocketAddress> others, Duration each) {
+        if (seal == null) {
+            throw new IllegalArgumentException("voters need a seal");
+        }
+        voters.addAll(others);
+        span = each;
+    }
+
     /** Adds a virtual router, not yet started. */
     public Router add(int virtualId, int priority, List<InetAddress> addresses, Election.Settings settings,
             Holder holder) {
@@ -66,6 +84,7 @@
 
     /** Listens, then starts all routers; on the owner's thread. */
     public void start() throws IOException {
+        booth = span == null ? null : new Booth(routers.keySet(), span);
         datagrams.listen(own, (bytes, from, at, answer) -> taken(bytes, from));
         routers.values().forEach(router -> router.event(new Election.Start()));
     }
@@ -87,7 +106,7 @@
     }
 
     private void taken(byte[] bytes, InetSocketAddress from) {
-        if (!peers.contains(from)) {
+        if (!peers.contains(from) && !voters.contains(from)) {
             Log.event("vrrp-stranger", "an advertisement from no peer", "from", from);
             return;
         }
@@ -98,6 +117,13 @@
                 heard.put(from, opened.heard());
                 message = opened.message();
             }
+            if (seal != null && Ballot.is(message)) {
+                ballot(Ballot.read(message), from);
+                return;
+            }
+            if (!peers.contains(from)) {
+                throw new MalformedException("an advertisement from a voter that is no peer");
+            }
             Advertisement told = Advertisement.read(message, from.getAddress(), own.getAddress());
             Router router = routers.get(told.virtualId());
             if (router == null || !router.addresses.equals(told.addresses())) {
@@ -110,6 +136,25 @@
         }
     }
 
+    private void ballot(Ballot ballot, InetSocketAddress from) throws MalformedException {
+        if (booth == null) {
+            throw new MalformedException("a ballot, and there are no voters here");
+        }
+        if (ballot.kind() == Ballot.Kind.ASKED || ballot.kind() == Ballot.Kind.RETURNED) {
+            Ballot answer = booth.taken(ballot, from);
+            if (answer != null) {
+                send(from, answer);
+            }
+        } else if (ballot.kind() == Ballot.Kind.GRANTED && routers.containsKey(ballot.virtualId())
+                && ballot.span().equals(span) && voters.contains(from)) {
+            routers.get(ballot.virtualId()).granted(1 + voters.indexOf(from), Duration.ofNanos(ballot.mark()));
+        }
+    }
+
+    private void send(InetSocketAddress to, Ballot ballot) {
+        datagrams.send(own, to, seal.seal(ballot.write(), run, number++));
+    }
+
     /** One virtual router. */
     public final class Router {
 
@@ -119,6 +164,9 @@
         private final Holder holder;
         private Election.State state;
         private Runnable timer = () -> { };
+        private Runnable quorumTimer = () -> { };
+        private Quorum quorum;
+        private boolean taken;
 
         private Router(int virtualId, int priority, List<InetAddress> addresses, Election.Settings settings,
                 Holder holder) {
@@ -131,14 +179,59 @@
 
         /** Whether this gateway may act for the address now; asked before each taking in and each write. */
         public boolean mayAct() {
-            if (state.role() != Election.Role.ACTIVE) {
+            if (!taken) {
                 return false;
             }
             if (!Election.mayAct(state, Steady.now())) {
                 // It was stopped: all is put in order before whoever asked goes on.
                 event(new Election.Tick());
             }
-            return Election.mayAct(state, Steady.now());
+            settle();
+            return taken;
+        }
+
+        /** Takes the address when all that it needs is there, and drops it when any of it is gone. */
+        private void settle() {
+            boolean may = Election.mayAct(state, Steady.now()) && (quorum == null || quorum.holds(Steady.now()));
+            if (may && !taken) {
+                taken = true;
+                holder.take();
+            } else if (!may && taken) {
+                taken = false;
+                holder.drop(Election.Why.LEASE_OVER);
+            }
+        }
+
+        /** The grants asked for at this time; the answers come, or do not. */
+        private void askVoters() {
+            Duration now = Steady.now();
+            quorum = quorum == null ? Quorum.none(voters.size() + 1) : quorum;
+            Ballot ask = new Ballot(Ballot.Kind.ASKED, virtualId, span, now.toNanos());
+            Ballot mine = booth.taken(ask, own);
+            if (mine != null && mine.kind() == Ballot.Kind.GRANTED) {
+                granted(0, now);
+            }
+            voters.forEach(voter -> send(voter, ask));
+        }
+
+        private void granted(int voter, Duration asked) {
+            // A time that is none of ours would let a grant count for ever.
+            if (state.role() == Election.Role.ACTIVE && quorum != null && asked.compareTo(Steady.now()) <= 0) {
+                quorum = quorum.granted(voter, asked, span);
+                settle();
+                quorumTimer.run();
+                quorumTimer = timers.after(span, this::settle);
+            }
+        }
+
+        /** What was granted is given back, so that the next one need not wait for its end. */
+        private void giveBack() {
+            if (booth != null) {
+                Ballot back = new Ballot(Ballot.Kind.RETURNED, virtualId, span, 0);
+                booth.taken(back, own);
+                voters.forEach(voter -> send(voter, back));
+                quorum = Quorum.none(voters.size() + 1);
+            }
         }
 
         public Election.State state() {
@@ -176,12 +269,18 @@
             for (Election.Action action : step.actions()) {
                 if (action instanceof Election.Advertise advertise) {
                     advertise(advertise.priority());
-                } else if (action instanceof Election.Take) {
-                    holder.take();
+                    if (booth != null && advertise.priority() != Advertisement.STOPS) {
+                        askVoters();
+                    }
                 } else if (action instanceof Election.Drop drop) {
-                    holder.drop(drop.why());
+                    if (taken) {
+                        taken = false;
+                        holder.drop(drop.why());
+                    }
+                    giveBack();
                 }
             }
+            settle();
         }
 
         private void advertise(int priority) {
--- /dev/null
+++ b/src/main/java/tamarindroute/standby/Witness.java
@@ -0,0 +1,57 @@
+package tamarindroute.standby;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tamarindroute.log.Log;
+import tamarindroute.net.Datagrams;
+import tamarindroute.protocol.MalformedException;
+import tamarindroute.vrrp.Ballot;
+import tamarindroute.vrrp.Seal;
+
+/** A third voter that carries nothing: it answers known candidates' sealed requests, and is never active itself. */
+public final class Witness {
+
+    private final Datagrams datagrams;
+    private final InetSocketAddress own;
+    private final List<InetSocketAddress> candidates;
+    private final Seal seal;
+    private final long run;
+    private final Booth booth;
+    private final Map<InetSocketAddress, Seal.Heard> heard = new HashMap<>();
+    private long number;
+
+    public Witness(Datagrams datagrams, InetSocketAddress own, List<InetSocketAddress> candidates,
+            Set<Integer> virtualIds, Duration span, Seal seal, long run) {
+        this.datagrams = datagrams;
+        this.own = own;
+        this.candidates = List.copyOf(candidates);
+        this.seal = seal;
+        this.run = run;
+        this.booth = new Booth(virtualIds, span);
+    }
+
+    public void start() throws IOException {
+        datagrams.listen(own, (bytes, from, at, answer) -> taken(bytes, from));
+    }
+
+    private void taken(byte[] bytes, InetSocketAddress from) {
+        try {
+            if (!candidates.contains(from)) {
+                throw new MalformedException("no candidate");
+            }
+            Seal.Opened opened = seal.open(bytes, heard.getOrDefault(from, Seal.Heard.NOTHING));
+            heard.put(from, opened.heard());
+            Ballot answer = booth.taken(Ballot.read(opened.message()), from);
+            if (answer != null) {
+                datagrams.send(own, from, seal.seal(answer.write(), run, number++));
+            }
+        } catch (MalformedException e) {
+            Log.event("vrrp-unreadable", e.getMessage(), "from", from);
+        }
+    }
+}
--- a/src/test/java/tamarindroute/standby/EndpointTest.java
+++ b/src/test/java/tamarindroute/standby/EndpointTest.java
@@ -54,11 +54,16 @@
                                 done.add("drop " + why);
                             }
                         });
+                if (!voters.isEmpty()) {
+                    endpoint.askVoters(voters, INTERVAL.multipliedBy(3));
+                }
                 endpoint.start();
                 return null;
             });
         }
 
+        List<InetSocketAddress> voters = List.of();
+
         <T> T onOwner(java.util.concurrent.Callable<T> task) throws Exception {
             AtomicReference<T> result = new AtomicReference<>();
             AtomicReference<Exception> failed = new AtomicReference<>();
@@ -118,6 +123,123 @@
         return gateway;
     }
 
+    /** A gateway at the end of two ways that can be cut: to the other one and to the witness at place 2. */
+    private Gateway withWitness(int place, int priority, Cut peer, Cut witness) throws Exception {
+        Gateway gateway = new Gateway();
+        gateways.add(gateway);
+        gateway.voters = List.of(peer.of(place), witness.of(place));
+        gateway.start(addresses.get(place), List.of(peer.of(place)), priority, seal());
+        return gateway;
+    }
+
+    /**
+     * A way between two addresses that can be cut in each direction. Each end sees the other at an address of the
+     * way's own, as through a router that translates.
+     */
+    private final class Cut implements AutoCloseable {
+        final int one;
+        final int other;
+        final DatagramSocket atOne = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        final DatagramSocket atOther = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        volatile boolean fromOne = true;
+        volatile boolean fromOther = true;
+
+        Cut(int one, int other) throws java.io.IOException {
+            this.one = one;
+            this.other = other;
+            carry(atOne, atOther, other, () -> fromOne);
+            carry(atOther, atOne, one, () -> fromOther);
+        }
+
+        /** Where the gateway at this place finds the other end. */
+        InetSocketAddress of(int place) {
+            DatagramSocket socket = place == one ? atOne : atOther;
+            return new InetSocketAddress(socket.getLocalAddress(), socket.getLocalPort());
+        }
+
+        private void carry(DatagramSocket in, DatagramSocket out, int to, java.util.function.BooleanSupplier open) {
+            Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        DatagramPacket packet = new DatagramPacket(new byte[2000], 2000);
+                        in.receive(packet);
+                        if (open.getAsBoolean()) {
+                            out.send(new DatagramPacket(packet.getData(), packet.getLength(), addresses.get(to)));
+                        }
+                    }
+                } catch (java.io.IOException e) {
+                    // Closed by the test.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        void cut() {
+            fromOne = false;
+            fromOther = false;
+        }
+
+        void mend() {
+            fromOne = true;
+            fromOther = true;
+        }
+
+        @Override
+        public void close() {
+            atOne.close();
+            atOther.close();
+        }
+    }
+
+    @Test
+    void withAThirdVoterAPartitionLeavesOneActiveAndTheCutOffOneFindsOut() throws Exception {
+        Clock clock = new Clock();
+        Datagrams datagrams = new Datagrams(clock);
+        try (Cut between = new Cut(0, 1); Cut first = new Cut(0, 2); Cut second = new Cut(1, 2)) {
+            CountDownLatch listening = new CountDownLatch(1);
+            clock.handOver(() -> {
+                try {
+                    new Witness(datagrams, addresses.get(2), List.of(first.of(2), second.of(2)), java.util.Set.of(9),
+                            INTERVAL.multipliedBy(3), seal(), System.nanoTime()).start();
+                    listening.countDown();
+                } catch (java.io.IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+            assertThat(listening.await(5, TimeUnit.SECONDS)).isTrue();
+            Gateway best = withWitness(0, 200, between, first);
+            Gateway next = withWitness(1, 100, between, second);
+            await(() -> best.active() && !next.active());
+            // The two can't see each other, both see the witness: the one that has its word keeps the address.
+            between.cut();
+            // Asked in this order: who begins later must not be seen beside who ended before.
+            never(() -> next.active() && best.active(), 1500);
+            assertThat(best.active()).isTrue();
+            // Now the best one is alone: it stops to act by itself, and only then the other begins.
+            first.cut();
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            while (!next.active()) {
+                assertThat(System.nanoTime()).isLessThan(end);
+            }
+            assertThat(best.active()).isFalse();
+            assertThat(best.done).contains("drop LEASE_OVER");
+            first.mend();
+            between.mend();
+            await(() -> best.active() && !next.active());
+        } finally {
+            datagrams.shutDown();
+        }
+    }
+
+    private static void never(Condition condition, long millis) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < end) {
+            assertThat(condition.holds()).isFalse();
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
     private static Seal seal() {
         return new Seal(KEYS, 1);
     }
