--- a/src/main/java/tamarindroute/dns/Probes.java
+++ b/src/main/java/tamarindroute/dns/Probes.java
@@ -18,7 +18,16 @@
 public final class Probes {
 
     /** What a probe came back with. */
-    public enum Came { READY, AILING, SILENT, REFUSED, BROKEN, NOT_SENT }
+    public enum Came {
+        READY(Result.HONOURED), AILING(Result.ERRED), SILENT(Result.TIMED_OUT), REFUSED(Result.UNREACHED),
+        BROKEN(Result.BROKEN), NOT_SENT(Result.NOT_SENT);
+
+        private final Result result;
+
+        Came(Result result) {
+            this.result = result;
+        }
+    }
 
     /** What is to be told to the module of a cache. */
     public record Told(Cache cache, Result result) { }
@@ -98,15 +107,14 @@
                 answered = now;
                 of.silent = 0;
                 of.ready = came == Came.READY ? now : null;
-                told.add(new Told(cache, came == Came.READY ? Result.HONOURED
-                        : came == Came.REFUSED ? Result.UNREACHED : came == Came.BROKEN ? Result.BROKEN : Result.ERRED));
+                told.add(new Told(cache, came.result));
             }
             case SILENT -> {
                 of.silent++;
                 boolean others = now.minus(answered).compareTo(every) <= 0;
                 boolean alone = caches.size() == 1 && of.silent >= SILENT_ALONE;
                 if (others || alone) {
-                    told.add(new Told(cache, Result.TIMED_OUT));
+                    told.add(new Told(cache, came.result));
                 }
             }
             case NOT_SENT -> { }
--- a/src/main/java/tamarindroute/dns/Steering.java
+++ b/src/main/java/tamarindroute/dns/Steering.java
@@ -41,7 +41,7 @@
         boolean proven(Cache cache, Duration now);
     }
 
-    /** The feed's own waits are half as long: past this, its silence is a fault (the platform counts drains as told). */
+    /** The feed's own waits are half as long: past this its silence is a fault. */
     private static final Duration LATE = Duration.ofSeconds(7);
     /** From this part of busy cores on a cache gets less of what can go elsewhere; the module's bound for crowds. */
     private static final double BUSY = 0.7;
--- a/src/main/java/tamarindroute/net/Datagrams.java
+++ b/src/main/java/tamarindroute/net/Datagrams.java
@@ -30,7 +30,7 @@
  */
 public final class Datagrams {
 
-    /** A datagram of a query is small, an answer with EDNS rarely over 4 KB; what is longer comes cut and unreadable. */
+    /** Queries are small, answers with EDNS rarely over 4 KB; what is longer comes cut and unreadable. */
     private static final int LONGEST = 4096;
     /** What waits for the owner's thread: some tens of milliseconds of its work. Past it a flood is dropped unread. */
     private static final int MOST_WAITING = 2000;
--- a/src/main/java/tamarindroute/standby/Endpoint.java
+++ b/src/main/java/tamarindroute/standby/Endpoint.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import tamarindroute.host.Steady;
 import tamarindroute.log.Log;
@@ -61,8 +62,8 @@
     }
 
     /**
-     * From its start on, whoever is active acts only with the grants of more than half of the voters: these, witnesses among
-     * them, and this gateway itself. Needs a seal. The span is the same at all; three intervals are a lease's length.
+     * From its start on, whoever is active acts only with the grants of more than half of the voters: these, witnesses
+     * among them, and this gateway itself. Needs a seal. The span is the same at all; three intervals are a lease's.
      */
     public void askVoters(List<InetSocketAddress> others, Duration each) {
         if (seal == null) {
@@ -195,13 +196,19 @@
             boolean may = Election.mayAct(state, Steady.now()) && (quorum == null || quorum.holds(Steady.now()));
             if (may && !taken) {
                 taken = true;
+                Log.event("vrrp-taken", "the address is ours", "router", virtualId);
                 holder.take();
             } else if (!may && taken) {
-                taken = false;
-                holder.drop(Election.Why.LEASE_OVER);
+                drop(Election.Why.LEASE_OVER);
             }
         }
 
+        private void drop(Election.Why why) {
+            taken = false;
+            Log.event("vrrp-dropped", "the address is given up", "router", virtualId, "why", why);
+            holder.drop(why);
+        }
+
         /** The grants asked for at this time; the answers come, or do not. */
         private void askVoters() {
             Duration now = Steady.now();
@@ -258,8 +265,9 @@
             Election.Step step = Election.next(state, event, now, settings);
             state = step.state();
             if (before != state.role()) {
-                Log.event("vrrp-role", before + " to " + state.role(), "router", virtualId, "event", event,
-                        "priority", state.priority());
+                // A topic for each role: the guard of one line a second must not hide that an address changed hands.
+                Log.event("vrrp-" + state.role().name().toLowerCase(Locale.ROOT), "was " + before, "router", virtualId,
+                        "event", event, "priority", state.priority());
             }
             timer.run();
             Duration due = Election.due(state);
@@ -274,8 +282,7 @@
                     }
                 } else if (action instanceof Election.Drop drop) {
                     if (taken) {
-                        taken = false;
-                        holder.drop(drop.why());
+                        drop(drop.why());
                     }
                     giveBack();
                 }
--- a/src/main/java/tamarindroute/vrrp/Grants.java
+++ b/src/main/java/tamarindroute/vrrp/Grants.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 
 /**
- * Owns one voter's word on who may be active: to one candidate at a time, for a span. Whoever was granted counts its span
- * from when it sent the request, the voter from when it got it, so that the candidate's ends first, whatever the way
- * took. A candidate that needs the word of two of three voters is then never active beside another, under any
+ * Owns one voter's word on who may be active: to one candidate at a time, for a span. Whoever was granted counts its
+ * span from when it sent the request, the voter from when it got it, so that the candidate's ends first, whatever the
+ * way took. A candidate that needs the word of two of three voters is then never active beside another, under any
  * partition, as long as clocks run alike to one part in a hundred. Immutable.
  */
 public record Grants(long holder, Duration until) {
--- a/src/main/java/tamarindroute/vrrp/Seal.java
+++ b/src/main/java/tamarindroute/vrrp/Seal.java
@@ -10,9 +10,9 @@
 import tamarindroute.protocol.MalformedException;
 
 /**
- * Owns the proof that a message is a peer's and new: a key's id, the sender's run and a number that grows within it, and an
- * HMAC-SHA256 over all and the message. Two keys hold during a change. It must never take a message twice, nor one
- * of an earlier run of the same sender once it has heard a later one.
+ * Owns the proof that a message is a peer's and new: a key's id, the sender's run and a number that grows within it,
+ * and an HMAC-SHA256 over all and the message. Two keys hold during a change. It must never take a message twice, nor
+ * one of an earlier run of the same sender once it has heard a later one.
  */
 public final class Seal {
 
