--- a/src/main/java/tamarindroute/dns/Responder.java
+++ b/src/main/java/tamarindroute/dns/Responder.java
@@ -182,9 +182,7 @@
             Name asked = pending.query.question().getName();
             for (int section : new int[] {Section.ANSWER, Section.AUTHORITY}) {
                 for (Record record : said.getSection(section)) {
-                    draft.message.addRecord(record.getName().equals(asked) ? Record.newRecord(asked,
-                            record.getType(), record.getDClass(), record.getTTL(), record.rdataToWireCanonical())
-                            : record, section);
+                    draft.message.addRecord(spelled(record, asked), section);
                 }
             }
             if (stale) {
@@ -197,6 +195,12 @@
         return new Send(written(draft, pending.datagram, wall));
     }
 
+    /** The record in the asker's spelling of its name, where it is of that name. */
+    private static Record spelled(Record record, Name asked) {
+        return !record.getName().equals(asked) ? record : Record.newRecord(asked, record.getType(),
+                record.getDClass(), record.getTTL(), record.rdataToWireCanonical());
+    }
+
     private void fill(Draft draft) {
         Record question = draft.query.question();
         if (draft.query.edns() != null && draft.query.edns().getVersion() > 0) {
@@ -287,9 +291,7 @@
     private void written(Draft draft, Name name, int aliases, ZoneData zone, SetResponse said) {
         if (said.isSuccessful()) {
             for (RRset set : said.answers()) {
-                set.rrs().forEach(record -> draft.answer(record.getName().equals(name)
-                        ? Record.newRecord(name, record.getType(), record.getDClass(), record.getTTL(),
-                        record.rdataToWireCanonical()) : record));
+                set.rrs().forEach(record -> draft.answer(spelled(record, name)));
             }
         } else if (said.isCNAME()) {
             draft.answer(said.getCNAME());
--- a/src/main/java/tamarindroute/dns/ZoneData.java
+++ b/src/main/java/tamarindroute/dns/ZoneData.java
@@ -46,10 +46,6 @@
         return zone.getSOA();
     }
 
-    public RRset nameServers() {
-        return zone.getNS();
-    }
-
     /** What answers a question after these records alone. */
     public SetResponse find(Name name, int type) {
         return zone.findRecords(name, type);
--- a/src/main/java/tamarindroute/host/Instance.java
+++ b/src/main/java/tamarindroute/host/Instance.java
@@ -80,11 +80,6 @@
         feed.start();
     }
 
-    /** Where the feed will be followed, before it is. */
-    public void at(InetSocketAddress address) {
-        feed.at(address);
-    }
-
     /** The feed is elsewhere from now on. */
     public void move(InetSocketAddress elsewhere) {
         feed.move(elsewhere);
--- a/src/main/java/tamarindroute/nameserver/NameServer.java
+++ b/src/main/java/tamarindroute/nameserver/NameServer.java
@@ -257,11 +257,9 @@
     }
 
     private void follow(InetSocketAddress feed) {
-        if (following) {
-            instance.move(feed);
-        } else {
+        instance.move(feed);
+        if (!following) {
             following = true;
-            instance.at(feed);
             instance.follow();
         }
     }
--- a/src/main/java/tamarindroute/net/Datagrams.java
+++ b/src/main/java/tamarindroute/net/Datagrams.java
@@ -92,11 +92,20 @@
         config.setMinReadBufferSize(LONGEST);
     }
 
-    private static byte[] bytes(Object message) {
+    /** On MINA's thread: hands a datagram over, or drops it unread where too many wait. */
+    private void handOver(Object message, Consumer<byte[]> to) {
+        if (waiting.incrementAndGet() > MOST_WAITING) {
+            waiting.decrementAndGet();
+            dropped.incrementAndGet();
+            return;
+        }
         IoBuffer buffer = (IoBuffer) message;
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
-        return bytes;
+        timers.handOver(() -> {
+            waiting.decrementAndGet();
+            to.accept(bytes);
+        });
     }
 
     private final class Listening extends IoHandlerAdapter {
@@ -109,18 +118,9 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            if (waiting.incrementAndGet() > MOST_WAITING) {
-                waiting.decrementAndGet();
-                dropped.incrementAndGet();
-                return;
-            }
-            byte[] bytes = bytes(message);
             Duration at = timers.now();
-            timers.handOver(() -> {
-                waiting.decrementAndGet();
-                taker.taken(bytes, (InetSocketAddress) session.getRemoteAddress(), at,
-                        answer -> session.write(IoBuffer.wrap(answer)));
-            });
+            handOver(message, bytes -> taker.taken(bytes, (InetSocketAddress) session.getRemoteAddress(), at,
+                    answer -> session.write(IoBuffer.wrap(answer))));
         }
 
         @Override
@@ -246,14 +246,7 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             Question question = of(session);
-            if (waiting.incrementAndGet() > MOST_WAITING) {
-                waiting.decrementAndGet();
-                dropped.incrementAndGet();
-                return;
-            }
-            byte[] bytes = bytes(message);
-            timers.handOver(() -> {
-                waiting.decrementAndGet();
+            handOver(message, bytes -> {
                 if (!question.over) {
                     question.who.came(bytes);
                 }
--- a/src/main/java/tamarindroute/net/Feed.java
+++ b/src/main/java/tamarindroute/net/Feed.java
@@ -52,16 +52,13 @@
         patience = timers.after(PATIENCE, () -> connection.close(Ending.NOT_UP_IN_TIME, false));
     }
 
-    /** Where the feed is; before it is started. */
-    public void at(InetSocketAddress where) {
-        address = where;
-    }
-
     /** From now on the feed is elsewhere; its numbers go on, so what is asked for there is what comes next. */
     public void move(InetSocketAddress elsewhere) {
         if (!elsewhere.equals(address)) {
             address = elsewhere;
-            connection.close(Ending.LET_GO, false);
+            if (connection != null) {
+                connection.close(Ending.LET_GO, false);
+            }
         }
     }
 
--- a/src/main/java/tamarindroute/resolver/Forwarder.java
+++ b/src/main/java/tamarindroute/resolver/Forwarder.java
@@ -57,10 +57,6 @@
             this.staleFor = staleFor;
             this.recursive = recursive;
         }
-
-        public Upstreams upstreams() {
-            return upstreams;
-        }
     }
 
     /** What is told of ourselves in EDNS: no fragments on any way. */
@@ -84,9 +80,6 @@
     private final RetryBudget budget = new RetryBudget();
     private final Map<Kept.Asked, Job> jobs = new HashMap<>();
     private final SecureRandom random = new SecureRandom();
-    private int attempts;
-    private int forged;
-    private int joined;
 
     public Forwarder(Timers timers, Datagrams datagrams, Sockets sockets) {
         this.timers = timers;
@@ -94,19 +87,10 @@
         this.sockets = sockets;
     }
 
-    /** How many attempts went out so far. */
-    public int attempts() {
-        return attempts;
-    }
-
-    /** How many answers came that were not to the question asked. */
-    public int forged() {
-        return forged;
-    }
-
-    /** How many questions were joined to an equal one under way. */
-    public int joined() {
-        return joined;
+    /** What was known of a question, while nobody answers it; without a message where nothing was. */
+    private Result known(Route route, Kept.Asked asked) {
+        Kept.Found found = kept.stale(asked, route.staleFor, timers.now());
+        return found == null ? new Result(null, false) : new Result(found.message(), found.stale());
     }
 
     /** Asks; the result comes once, on the owner's thread, at the latest when the route's time is over. */
@@ -120,18 +104,15 @@
         Job job = jobs.get(asked);
         if (job != null && job.staleTold) {
             // Nobody has answered for a while: whoever asks now need not wait as long as the first did.
-            Kept.Found stale = kept.stale(asked, route.staleFor, timers.now());
-            then.accept(stale == null ? new Result(null, false) : new Result(stale.message(), stale.stale()));
+            then.accept(known(route, asked));
             return;
         }
         if (job != null && job.waiting.size() < MOST_JOINED) {
-            joined++;
             job.waiting.add(then);
             return;
         }
         if (job != null || jobs.size() >= MOST_JOBS) {
-            Kept.Found stale = kept.stale(asked, route.staleFor, timers.now());
-            then.accept(stale == null ? new Result(null, false) : new Result(stale.message(), stale.stale()));
+            then.accept(known(route, asked));
             return;
         }
         job = new Job(route, asked);
@@ -180,10 +161,10 @@
 
         /** Nobody answers yet, and what was known is better than more waiting; the question goes on behind. */
         private void stale() {
-            Kept.Found found = kept.stale(asked, route.staleFor, timers.now());
-            if (found != null && !waiting.isEmpty()) {
+            Result known = known(route, asked);
+            if (known.message() != null && !waiting.isEmpty()) {
                 staleTold = true;
-                tell(new Result(found.message(), found.stale()));
+                tell(known);
             }
         }
 
@@ -191,9 +172,9 @@
             if (out != null) {
                 out.quit();
             }
-            Kept.Found found = kept.stale(asked, route.staleFor, timers.now());
-            Log.event("upstream-none", asked.name() + ": " + why, "attempts", sent, "stale", found != null);
-            end(found == null ? new Result(null, false) : new Result(found.message(), found.stale()));
+            Result known = known(route, asked);
+            Log.event("upstream-none", asked.name() + ": " + why, "attempts", sent, "stale", known.message() != null);
+            end(known);
         }
 
         void good(Message message) {
@@ -237,7 +218,6 @@
         }
 
         void go() {
-            attempts++;
             Duration wait = job.route.upstreams.sent(upstream, from);
             timer = timers.after(wait, () -> failed("silent", true));
             quit = datagrams.ask(upstream.address, query(), this);
@@ -271,7 +251,6 @@
             } else if (said instanceof Check.Unwilling unwilling) {
                 failed(unwilling.why(), false);
             } else {
-                forged++;
                 Log.event("answer-forged", said, "upstream", upstream.address);
                 if (++wrong >= MOST_FORGED) {
                     failed("flooded with wrong answers", true);
--- a/src/main/java/tamarindroute/resolver/Kept.java
+++ b/src/main/java/tamarindroute/resolver/Kept.java
@@ -1,7 +1,6 @@
 package tamarindroute.resolver;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,8 +65,7 @@
     /** What is kept for this question and holds still; null for nothing. */
     public Found fresh(Asked asked, Duration now) {
         Entry entry = entries.get(asked);
-        return entry == null || entry.until.compareTo(now) <= 0 ? null
-                : new Found(message(asked, entry, now.minus(entry.since).toSeconds(), Long.MAX_VALUE), false);
+        return entry == null || entry.until.compareTo(now) <= 0 ? null : found(asked, entry, now);
     }
 
     /** What held until so long ago at the most; null for nothing. */
@@ -80,34 +78,27 @@
             entries.remove(asked);
             return null;
         }
-        boolean past = entry.until.compareTo(now) <= 0;
-        return new Found(message(asked, entry, now.minus(entry.since).toSeconds(), past ? STALE_TTL : Long.MAX_VALUE),
-                past);
+        return found(asked, entry, now);
     }
 
-    private static Message message(Asked asked, Entry entry, long age, long most) {
+    private static Found found(Asked asked, Entry entry, Duration now) {
+        boolean stale = entry.until.compareTo(now) <= 0;
+        long age = now.minus(entry.since).toSeconds();
         Message message = new Message();
         message.getHeader().setRcode(entry.rcode);
         message.addRecord(Record.newRecord(asked.name(), asked.type(), 1), Section.QUESTION);
-        for (Record record : aged(entry.answer, age, most)) {
-            message.addRecord(record, Section.ANSWER);
-        }
-        for (Record record : aged(entry.authority, age, most)) {
-            message.addRecord(record, Section.AUTHORITY);
-        }
-        return message;
+        add(message, entry.answer, Section.ANSWER, age, stale);
+        add(message, entry.authority, Section.AUTHORITY, age, stale);
+        return new Found(message, stale);
     }
 
-    private static List<Record> aged(List<Record> records, long age, long most) {
-        List<Record> aged = new ArrayList<>();
+    /** Adds records with what is left of their TTL, or past it with the stale span. */
+    private static void add(Message message, List<Record> records, int section, long age, boolean stale) {
         for (Record record : records) {
-            long left = Math.min(LONGEST, record.getTTL()) - age;
-            // Past its time it is given out for the stale span; before, for what is left.
-            long ttl = most == Long.MAX_VALUE ? Math.max(0, left) : most;
-            aged.add(Record.newRecord(record.getName(), record.getType(), record.getDClass(), ttl,
-                    record.rdataToWireCanonical()));
+            long ttl = stale ? STALE_TTL : Math.max(0, Math.min(LONGEST, record.getTTL()) - age);
+            message.addRecord(Record.newRecord(record.getName(), record.getType(), record.getDClass(), ttl,
+                    record.rdataToWireCanonical()), section);
         }
-        return aged;
     }
 
     /** How many answers are kept; for tests of the bound. */
--- a/src/main/java/tamarindroute/resolver/Upstreams.java
+++ b/src/main/java/tamarindroute/resolver/Upstreams.java
@@ -56,15 +56,6 @@
             double failing = bad / (good + bad + 1);
             return took + failing / Math.max(0.05, 1 - failing) * LONGEST_WAIT;
         }
-
-        /** How many of its outcomes fail just now, 0 to 1; for those who look on. */
-        public double failing() {
-            return bad / (good + bad + 1);
-        }
-
-        public int inFlight() {
-            return inFlight;
-        }
     }
 
     private final List<Upstream> upstreams;
--- a/src/main/java/tamarindroute/standby/Endpoint.java
+++ b/src/main/java/tamarindroute/standby/Endpoint.java
@@ -41,10 +41,7 @@
     private final Datagrams datagrams;
     private final InetSocketAddress own;
     private final List<InetSocketAddress> peers;
-    private final Seal seal;
-    private final long run;
-    private long number;
-    private final Map<InetSocketAddress, Seal.Heard> heard = new HashMap<>();
+    private final Post post;
     private final Map<Integer, Router> routers = new HashMap<>();
     private final List<InetSocketAddress> voters = new ArrayList<>();
     private Duration span;
@@ -57,8 +54,7 @@
         this.datagrams = datagrams;
         this.own = own;
         this.peers = List.copyOf(peers);
-        this.seal = seal;
-        this.run = run;
+        this.post = new Post(datagrams, own, seal, run);
     }
 
     /**
@@ -66,7 +62,7 @@
      * among them, and this gateway itself. Needs a seal. The span is the same at all; three intervals are a lease's.
      */
     public void askVoters(List<InetSocketAddress> others, Duration each) {
-        if (seal == null) {
+        if (!post.sealed()) {
             throw new IllegalArgumentException("voters need a seal");
         }
         voters.addAll(others);
@@ -112,13 +108,8 @@
             return;
         }
         try {
-            byte[] message = bytes;
-            if (seal != null) {
-                Seal.Opened opened = seal.open(bytes, heard.getOrDefault(from, Seal.Heard.NOTHING));
-                heard.put(from, opened.heard());
-                message = opened.message();
-            }
-            if (seal != null && Ballot.is(message)) {
+            byte[] message = post.open(bytes, from);
+            if (post.sealed() && Ballot.is(message)) {
                 ballot(Ballot.read(message), from);
                 return;
             }
@@ -153,7 +144,7 @@
     }
 
     private void send(InetSocketAddress to, Ballot ballot) {
-        datagrams.send(own, to, seal.seal(ballot.write(), run, number++));
+        post.send(to, ballot.write());
     }
 
     /** One virtual router. */
@@ -293,8 +284,7 @@
         private void advertise(int priority) {
             Advertisement advertisement = new Advertisement(virtualId, priority, settings.interval(), addresses);
             for (InetSocketAddress peer : peers) {
-                byte[] message = advertisement.write(own.getAddress(), peer.getAddress());
-                datagrams.send(own, peer, seal == null ? message : seal.seal(message, run, number++));
+                post.send(peer, advertisement.write(own.getAddress(), peer.getAddress()));
             }
         }
     }
--- a/src/main/java/tamarindroute/standby/Witness.java
+++ b/src/main/java/tamarindroute/standby/Witness.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import tamarindroute.log.Log;
 import tamarindroute.net.Datagrams;
@@ -19,19 +17,15 @@
     private final Datagrams datagrams;
     private final InetSocketAddress own;
     private final List<InetSocketAddress> candidates;
-    private final Seal seal;
-    private final long run;
+    private final Post post;
     private final Booth booth;
-    private final Map<InetSocketAddress, Seal.Heard> heard = new HashMap<>();
-    private long number;
 
     public Witness(Datagrams datagrams, InetSocketAddress own, List<InetSocketAddress> candidates,
             Set<Integer> virtualIds, Duration span, Seal seal, long run) {
         this.datagrams = datagrams;
         this.own = own;
         this.candidates = List.copyOf(candidates);
-        this.seal = seal;
-        this.run = run;
+        this.post = new Post(datagrams, own, seal, run);
         this.booth = new Booth(virtualIds, span);
     }
 
@@ -44,11 +38,9 @@
             if (!candidates.contains(from)) {
                 throw new MalformedException("no candidate");
             }
-            Seal.Opened opened = seal.open(bytes, heard.getOrDefault(from, Seal.Heard.NOTHING));
-            heard.put(from, opened.heard());
-            Ballot answer = booth.taken(Ballot.read(opened.message()), from);
+            Ballot answer = booth.taken(Ballot.read(post.open(bytes, from)), from);
             if (answer != null) {
-                datagrams.send(own, from, seal.seal(answer.write(), run, number++));
+                post.send(from, answer.write());
             }
         } catch (MalformedException e) {
             Log.event("vrrp-unreadable", e.getMessage(), "from", from);
--- a/src/test/java/tamarindroute/vrrp/ModelCheck.java
+++ b/src/test/java/tamarindroute/vrrp/ModelCheck.java
@@ -14,25 +14,19 @@
  */
 final class ModelCheck {
 
-    /** The machine under test; a seeded defect is one of another kind. */
+    /** The machine under test; a seeded defect overrides what it breaks. */
     interface Machine {
-        Election.Step next(Election.State state, Election.Event event, Duration now, Election.Settings settings);
-
-        boolean mayAct(Election.State state, Duration now);
-    }
-
-    static final Machine SOUND = new Machine() {
-        @Override
-        public Election.Step next(Election.State state, Election.Event event, Duration now,
+        default Election.Step next(Election.State state, Election.Event event, Duration now,
                 Election.Settings settings) {
             return Election.next(state, event, now, settings);
         }
 
-        @Override
-        public boolean mayAct(Election.State state, Duration now) {
+        default boolean mayAct(Election.State state, Duration now) {
             return Election.mayAct(state, now);
         }
-    };
+    }
+
+    static final Machine SOUND = new Machine() { };
 
     /** What may go wrong: so many losses and doublings, stops (one process at a time), kills; the longest way in ticks. */
     record Budget(int losses, int doubled, int stops, int kills, int way) { }
--- a/src/test/java/tamarindroute/vrrp/VrrpTest.java
+++ b/src/test/java/tamarindroute/vrrp/VrrpTest.java
@@ -198,19 +198,8 @@
                         ? new Election.Heard(h.priority(), Long.MIN_VALUE, h.interval()) : event;
                 return Election.next(state, seen, now, settings);
             }
-
-            @Override
-            public boolean mayAct(Election.State state, Duration now) {
-                return Election.mayAct(state, now);
-            }
         };
         ModelCheck.Machine noLease = new ModelCheck.Machine() {
-            @Override
-            public Election.Step next(Election.State state, Election.Event event, Duration now,
-                    Election.Settings settings) {
-                return Election.next(state, event, now, settings);
-            }
-
             @Override
             public boolean mayAct(Election.State state, Duration now) {
                 return state.role() == Election.Role.ACTIVE;
