--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,14 +1,38 @@
 #!/bin/sh
 # Starts one gateway, in place of this shell, so that signals reach it, with a Java machine as large as the
-# configuration's limits.memory_mb allows. It must never decide anything else.
+# configuration's limits.memory_mb allows. It must never decide anything else, and it starts no other program: nothing
+# but this shell's own words before the `exec`, so that it also starts where a process may not make others.
 #
 # Beside the heap the process holds what the machine's own code, classes, compiled code, threads and MINA need:
 # 18 MB of its own were measured with the class archive, 26 MB without it, at any size of heap. What is left of the
 # limit after 22 MB is the heap's, from 10 MB, which the tables and the least of buffers need, up to 80 MB, of which no day
 # used half. New objects die young: two fifths of the heap are theirs.
-cd "$(dirname "$0")/.." || exit 1
-mb=$(sed -n 's/.*"memory_mb"[ ]*:[ ]*\([0-9][0-9]*\).*/\1/p' "$EDGE_CONFIG" 2>/dev/null | head -n 1)
-heap=$((${mb:-32} - 22))
+here=${0%/*}
+[ "$here" != "$0" ] || here=.
+cd "$here/.." || exit 1
+# The limit is the value that follows the name "memory_mb", however the file is laid out. A limit that can't be read
+# keeps nobody from starting: it counts as the least.
+mb=
+if [ -r "${EDGE_CONFIG:-}" ]; then
+    set -f
+    spaces=$IFS
+    IFS="$IFS{}[]:,"
+    seen=
+    while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
+        for word in $line; do
+            if [ -n "$seen" ] && [ -n "$word" ]; then
+                mb=${word%%.*}
+                break
+            fi
+            [ "$word" != '"memory_mb"' ] || seen=yes
+        done
+    done < "$EDGE_CONFIG"
+    IFS=$spaces
+fi
+case $mb in
+    '' | *[!0-9]* | 0* | ???????*) mb=32 ;;
+esac
+heap=$((mb - 22))
 [ "$heap" -ge 10 ] || heap=10
 [ "$heap" -le 80 ] || heap=80
 young=$((heap * 2 / 5))
