An answer goes on only when whole, so a break never ends the client's connection

Change: answers wait in the pool until whole; one is let in whole or its cache waits, one may always go on. Tests: a large answer that breaks costs neither connection nor other views (fails without); 60 large answers in 32 MB.

--- a/src/main/java/tamarindroute/gateway/Book.java
+++ b/src/main/java/tamarindroute/gateway/Book.java
@@ -61,7 +61,7 @@
         } catch (MalformedException e) {
             Log.line("cache-unreadable", e.getMessage());
         }
-        if (result == Result.HONOURED && (!out.held.over || out.passage.passing())) {
+        if (result == Result.HONOURED && !out.held.over) {
             out.passage.finish(fields, word.equals("NOMOD"));
         } else {
             out.passage.drop();
@@ -101,10 +101,6 @@
     /** The client's time is over: what is out is too late, and the final answer is due. */
     void cutOff(Held held) {
         for (Send.TripOut out : List.copyOf(held.out)) {
-            if (mustPass(out)) {
-                over(held);
-                return;
-            }
             out.quit();
             out.passage.drop();
             end(out, Result.TIMED_OUT, Detail.UNTOLD, null, held.over);
@@ -118,21 +114,14 @@
     void vanished(Held held) {
         over(held);
         for (Send.TripOut out : List.copyOf(held.out)) {
-            if (!mustPass(out)) {
-                out.quit();
-                broken(out, Result.RECALLED);
-            }
+            out.quit();
+            broken(out, Result.RECALLED);
         }
         if (held.out.isEmpty()) {
             held.release();
         }
     }
 
-    /** An answer that passes may not be cut while other views are open on the client's connection. */
-    private static boolean mustPass(Send.TripOut out) {
-        return out.passage.passing() && out.held.client.open.values().stream().anyMatch(h -> h != out.held);
-    }
-
     void dismiss(Held held, Duration comeBack) {
         held.client.outlet.word(held.tag, "NAK",
                 new Fields().with("backoff", comeBack == null ? null : Math.max(1, comeBack.toMillis())));
--- a/src/main/java/tamarindroute/gateway/Chain.java
+++ b/src/main/java/tamarindroute/gateway/Chain.java
@@ -25,7 +25,7 @@
         this.pool = pool;
         this.clock = clock;
         this.roster = roster;
-        relay = new Relay(pool);
+        relay = new Relay(pool, clock);
         Route route = new Route(decisions, clock);
         Book book = new Book(clock, decisions, route);
         admit = new Admit(settings, clock, route, book);
--- a/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -72,7 +72,7 @@
 
     @Override
     public Duration uselessSince() {
-        if (!open.isEmpty() || outlet.busy() || outlet.connection.waiting() > 0) {
+        if (!open.isEmpty() || outlet.connection.waiting() > 0) {
             return null;
         }
         // One that said nothing when it could have goes before any that asked: whoever uses it is not known.
@@ -172,7 +172,7 @@
     }
 
     private void closeIfDone() {
-        if (open.isEmpty() && !outlet.busy()) {
+        if (open.isEmpty()) {
             outlet.connection.close(Ending.LET_GO, true);
         }
     }
--- a/src/main/java/tamarindroute/net/Pool.java
+++ b/src/main/java/tamarindroute/net/Pool.java
@@ -34,6 +34,11 @@
         return out.get() < most * 3 / 4;
     }
 
+    /** Whether so many bytes more may be held that need not be. */
+    public boolean hasRoomFor(long bytes) {
+        return out.get() + (bytes + SIZE - 1) / SIZE < most * 3 / 4;
+    }
+
     /** Called on any thread when there is room again after there was none. */
     public void whenRoom(Runnable wake) {
         roomAgain = wake;
