A view's last checks: drains told while a connection comes up, copies named by a cache

Causes, found by reading and each shown by a test that fails without its fix: - CacheLine.Link.opened wrote what had waited for the connection (the settings' time at most) without asking whether its cache or source had been drained meanwhile: late against the drain's grace where that is shorter. Now it is asked again on the owner's thread, ahead of the write; what is unwanted ends as not sent, nobody is judged (Ending.OVERTAKEN). - Book took NOMOD for any view as "your copy holds", also of a client that has none or another: such a view was answered served with no bytes. A NOMOD that names another copy is an error of that cache now. - At a full door a connection half way through a request counted as idle (TakeIn.uselessSince).

--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -28,7 +28,7 @@
 public final class ToyServer {
 
     /** What a toy cache does with a request. */
-    public enum Mode { SERVE, MISS, FULL, ERROR, SILENT, RESET, HALF, STOP, GARBAGE, LATE }
+    public enum Mode { SERVE, MISS, FULL, ERROR, SILENT, RESET, HALF, STOP, GARBAGE, LATE, UNCHANGED }
 
     private ToyServer() { }
 
@@ -258,6 +258,7 @@
                         continue;
                     }
                 }
+                case UNCHANGED -> out.write(frame(id, "NOMOD", "why=hit,digest=" + id("0"), ""));
                 case LATE -> {
                     Thread.sleep(300);
                     out.write(whole);
--- a/src/main/java/tamarindroute/gateway/Book.java
+++ b/src/main/java/tamarindroute/gateway/Book.java
@@ -61,14 +61,25 @@
         } catch (MalformedException e) {
             Log.line("cache-unreadable", e.getMessage());
         }
+        boolean unchanged = word.equals("NOMOD");
+        if (unchanged && !names(out.held.copy, fields)) {
+            Log.line("cache-unreadable", "an answer that the client's copy holds, which is not the client's");
+            result = Result.ERRED;
+        }
         if (result == Result.HONOURED && !out.held.over) {
-            out.passage.finish(fields, word.equals("NOMOD"));
+            out.passage.finish(fields, unchanged);
         } else {
             out.passage.drop();
         }
         end(out, result, detail, wait, out.held.over || result == Result.HONOURED);
     }
 
+    /** Whether a cache that says that the copy holds means the one that this client has. */
+    private static boolean names(String copy, Fields fields) {
+        String named = fields.text("digest");
+        return copy != null && (named == null || named.equals(copy));
+    }
+
     private void report(Send.TripOut out, Fields fields) throws MalformedException {
         Load load = Report.load(fields);
         if (load != null) {
--- a/src/main/java/tamarindroute/gateway/Send.java
+++ b/src/main/java/tamarindroute/gateway/Send.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import tamarindroute.decision.Cache;
 import tamarindroute.decision.Outcome.Result;
 import tamarindroute.decision.Trip;
 import tamarindroute.host.Clock;
@@ -54,6 +55,12 @@
             roster.out(trip, -1);
         }
 
+        /** A drain may have been told while the connection came up: of its cache, or of its source. */
+        @Override
+        public boolean stillWanted() {
+            return trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY;
+        }
+
         @Override
         public void answered(String answer, Fields told, int length) {
             word = answer;
--- a/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -70,11 +70,15 @@
         inputClosed();
     }
 
+    /** A request that is coming in makes it the last to go: half of it would be lost with the connection. */
     @Override
     public Duration uselessSince() {
         if (!open.isEmpty() || outlet.connection.waiting() > 0) {
             return null;
         }
+        if (!reader.atRest() || outlet.connection.hasUnused()) {
+            return clock.now();
+        }
         // One that said nothing when it could have goes before any that asked: whoever uses it is not known.
         return asked ? usedAt : clock.now().minus(usedAt).compareTo(FIRST_WORD) < 0 ? clock.now() : Duration.ZERO;
     }
--- a/src/main/java/tamarindroute/net/Asked.java
+++ b/src/main/java/tamarindroute/net/Asked.java
@@ -6,6 +6,11 @@
 /** Who waits for the answer to one request to a cache; called on the owner's thread. */
 public interface Asked {
 
+    /** Whether the request may go out still, now that the connection it waited for is up. */
+    default boolean stillWanted() {
+        return true;
+    }
+
     /** The answer begins; its body, so long, is yet to come. */
     void answered(String word, Fields fields, int length);
 
--- a/src/main/java/tamarindroute/net/CacheLine.java
+++ b/src/main/java/tamarindroute/net/CacheLine.java
@@ -239,7 +239,13 @@
             up = true;
             upTimer.run();
             usedAt = timers.now();
-            open.forEach(this::write);
+            for (Map.Entry<String, Request> waiting : List.copyOf(open.entrySet())) {
+                if (waiting.getValue().asked.stillWanted()) {
+                    write(waiting.getKey(), waiting.getValue());
+                } else if (open.remove(waiting.getKey(), waiting.getValue())) {
+                    waiting.getValue().asked.ended(Ending.OVERTAKEN, false);
+                }
+            }
             closeIfDone();
         }
 
--- a/src/main/java/tamarindroute/net/Ending.java
+++ b/src/main/java/tamarindroute/net/Ending.java
@@ -15,6 +15,8 @@
     NOT_UP_IN_TIME(Result.UNREACHED),
     /** This gateway has no descriptor left for it. */
     NO_DESCRIPTOR(Result.NOT_SENT),
+    /** While the request waited for its connection, it came to be unwanted there. */
+    OVERTAKEN(Result.NOT_SENT),
     /** The other side closed in order, with trips out. */
     CLOSED(Result.BROKEN),
     /** The other side's process died, or its machine dropped the connection. */
--- a/src/test/java/tamarindroute/gateway/FleetIT.java
+++ b/src/test/java/tamarindroute/gateway/FleetIT.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -123,6 +124,29 @@
         assertThat(many.stream().filter(cache -> cache.seen.isEmpty()).count()).isLessThan(3);
     }
 
+    /** At a full door one that is half way through a request is not the one to go, though it was idle for longest. */
+    @Test
+    void aRequestThatIsComingInKeepsItsPlaceAtAFullDoor() throws Exception {
+        descriptors = 256;
+        restartWithTheLeast();
+        List<ToyServer.Client> stay = new ArrayList<>();
+        try (ToyServer.Client half = client()) {
+            assertThat(word(ask(half, "1", "a"))).isEqualTo("ACK");
+            String fields = fields("b", 2000);
+            String frame = "*5\r\n$8\r\nRPC.CALL\r\n$1\r\n2\r\n$4\r\nclip\r\n$" + fields.length() + "\r\n" + fields + "\r\n$3\r\nabc\r\n";
+            half.socket.getOutputStream().write(frame.substring(0, 60).getBytes(StandardCharsets.US_ASCII));
+            for (int i = 0; i < 140; i++) {
+                stay.add(client());
+                assertThat(word(ask(stay.get(i), "1", "a"))).isEqualTo("ACK");
+            }
+            half.socket.getOutputStream().write(frame.substring(60).getBytes(StandardCharsets.US_ASCII));
+            assertThat(word(half.read())).isEqualTo("ACK");
+        }
+        for (ToyServer.Client client : stay) {
+            client.close();
+        }
+    }
+
     /** One cache of many falls silent, resets or comes late while its neighbours idle: each view still ends well. */
     @Test
     void oneBadCacheAmongManyIdleOnesCostsNoView() throws Exception {
--- a/src/test/java/tamarindroute/gateway/GatewayIT.java
+++ b/src/test/java/tamarindroute/gateway/GatewayIT.java
@@ -65,6 +65,21 @@
         }
     }
 
+    /** A cache that answers so out of turn names no copy of this client's: it must not be told that its own holds. */
+    @Test
+    void onlyACopyThatACacheHasNamedIsCalledCurrent() throws Exception {
+        mode(Mode.UNCHANGED);
+        try (ToyServer.Client client = client()) {
+            assertThat(word(ask(client, "1", "5"))).isIn("FAIL", "NAK");
+            client.call("2", "clip", fields("6", 2000) + ",ver=" + id("6"), "");
+            assertThat(word(client.read())).isIn("FAIL", "NAK");
+            client.call("3", "clip", fields("7", 2000) + ",ver=" + id("0"), "");
+            List<byte[]> answer = client.read();
+            assertThat(word(answer)).isEqualTo("ACK");
+            assertThat(new String(answer.get(2), StandardCharsets.UTF_8)).contains("unchanged=1");
+        }
+    }
+
     @Test
     void manyViewsOnOneConnectionAreEachAnsweredOnceWhateverTheirFramesArrivalInPieces() throws Exception {
         try (ToyServer.Client client = client()) {
--- a/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/src/test/java/tamarindroute/net/ConnectTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -103,6 +104,52 @@
         }
     }
 
+    /** A drain told while the connection comes up binds what waits for it; nothing has run, and nobody is to blame. */
+    @Test
+    void whatIsUnwantedByTheTimeThatItsConnectionIsUpIsNotSent() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 200)) {
+            CacheLine line = new CacheLine(sockets, owner, "s",
+                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    new CacheLine.Limits(1, 100, Duration.ofSeconds(2), Duration.ZERO));
+            CompletableFuture<Ending> drained = new CompletableFuture<>();
+            owner.thread.submit(() -> {
+                line.ask("1", "-", List.of(), 0, waiting(false, drained));
+                line.ask("2", "-", List.of(), 0, waiting(true, new CompletableFuture<>()));
+            }).get();
+            assertThat(drained.get(2, TimeUnit.SECONDS)).isEqualTo(Ending.OVERTAKEN);
+            try (Socket cache = server.accept()) {
+                cache.setSoTimeout(300);
+                byte[] came = new byte[1000];
+                int some = cache.getInputStream().read(came);
+                assertThat(new String(came, 0, some, StandardCharsets.US_ASCII)).startsWith("*4\r\n$3\r\nASK\r\n$1\r\n2\r\n")
+                        .doesNotContain("$1\r\n1\r\n");
+            }
+        }
+    }
+
+    private static Asked waiting(boolean wanted, CompletableFuture<Ending> end) {
+        return new Asked() {
+            @Override
+            public boolean stillWanted() {
+                return wanted;
+            }
+
+            @Override
+            public void answered(String word, Fields fields, int length) { }
+
+            @Override
+            public void body(ByteBuffer part, Connection from) { }
+
+            @Override
+            public void whole() { }
+
+            @Override
+            public void ended(Ending ending, boolean whole) {
+                end.complete(ending);
+            }
+        };
+    }
+
     /** MINA sets what a connection waits for in two steps: two threads at once leave it deaf, or mute, for good. */
     @Test
     void aConnectionWhoseReadsRestAndGoOnUnderWritesNeverStalls() throws Exception {
--- a/src/test/java/tamarindroute/net/NetTest.java
+++ b/src/test/java/tamarindroute/net/NetTest.java
@@ -73,8 +73,8 @@
     @EnumSource(Ending.class)
     void whatWasWrittenWholeMayHaveRun(Ending ending) {
         assertThat(ending.result(false).provesNotRun).isTrue();
-        boolean neverUp = List.of(Ending.REFUSED, Ending.UNREACHABLE, Ending.NOT_UP_IN_TIME, Ending.NO_DESCRIPTOR)
-                .contains(ending);
+        boolean neverUp = List.of(Ending.REFUSED, Ending.UNREACHABLE, Ending.NOT_UP_IN_TIME, Ending.NO_DESCRIPTOR,
+                Ending.OVERTAKEN).contains(ending);
         assertThat(ending.result(true).provesNotRun).isEqualTo(neverUp);
         assertThat(Ending.RESET.result(true)).isEqualTo(Result.BROKEN);
         assertThat(Ending.REFUSED.result(false)).isEqualTo(Result.UNREACHED);
