--- a/src/main/java/tamarindroute/Brain.java
+++ b/src/main/java/tamarindroute/Brain.java
@@ -109,14 +109,24 @@
         double wait;
         double allowance;
         double allowanceAt;
+        final long stirred;
+        double score;
+        int hubsAway;
         View drawnFor;
         boolean won;
 
         Node(Cache cache) {
             this.cache = cache;
+            this.stirred = stir(cache.mark);
             this.start = cache.tier == Tier.PARENT ? settings.parentStart() : settings.edgeStart();
         }
 
+        /** Its place for a key: the lowest comes first. */
+        void score(long key) {
+            double u = ((stir(key ^ stirred) >>> 11) + 0.5) / 0x1p53;
+            score = -Math.log(u) / Math.max(1e-6, cache.weight);
+        }
+
         boolean cold(double now) {
             return cache.upSince != null && cache.tier != Tier.ORIGIN
                     && now < seconds(cache.upSince) + seconds(start.warmAfter());
@@ -135,9 +145,9 @@
 
         /**
          * Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
-         * multiple: 0.7 of it flows in, 0.4 may wait. Where that is less than the view, it goes by lot, once a
-         * view, at odds of what has flowed in, which is then spent: gateways that each saved up a whole view
-         * came together, and a cache of very many starved until then. Spent at the cache's start as at this
+         * multiple: 0.7 of it flows in, 0.4 may wait. Where that is less than the view, it goes by lot, once
+         * a view, at odds of what has flowed in, which is then spent: gateways that each saved up a view came
+         * together, and a cache of very many starved until then. Spent at the cache's start as at this
          * gateway's own, which forgot what it sent.
          */
         boolean bears(double work, double now) {
@@ -388,6 +398,7 @@
                 .map(nodes::get).toList();
         edgePlaces = edges.stream().filter(Node::ready).mapToDouble(e -> e.cache.weight).sum();
         parents = caches.stream().filter(c -> c.tier == Tier.PARENT).map(nodes::get).toList();
+        parents.forEach(parent -> parent.hubsAway = hubsAway(parent));
         origins = caches.stream().filter(c -> c.tier == Tier.ORIGIN).map(nodes::get).toList();
     }
 
@@ -426,13 +437,19 @@
     /** Weighted rendezvous hashing: all gateways rank alike, and a change moves only its own share. */
     private static List<Node> ranked(List<Node> among, long key) {
         List<Node> ranked = new ArrayList<>(among);
-        Map<Node, Double> scores = new IdentityHashMap<>();
+        ranked.forEach(node -> node.score(key));
+        ranked.sort(Comparator.comparingDouble(node -> node.score));
+        return ranked;
+    }
+
+    /** The first of the ranked that fits, without ranking a long list whole. */
+    private static Node home(List<Node> among, long key, Predicate<Node> fit) {
+        among.forEach(node -> node.score(key));
+        Node home = null;
         for (Node node : among) {
-            double u = ((stir(key ^ stir(node.cache.mark)) >>> 11) + 0.5) / 0x1p53;
-            scores.put(node, -Math.log(u) / Math.max(1e-6, node.cache.weight));
+            home = (home == null || node.score < home.score) && fit.test(node) ? node : home;
         }
-        ranked.sort(Comparator.comparingDouble(scores::get));
-        return ranked;
+        return home;
     }
 
     /** How many ways between hubs lie from this zone to a parent's. */
@@ -497,8 +514,10 @@
         if (settings.secondCopies()) {
             return next(view, now) instanceof Trip further ? further : NOT_YET;
         }
-        return settings.recalls() && Math.max(node.doubt.read(now), source.doubt.read(now)) > 3
-                ? new Answer.Recall(trip) : NOT_YET;
+        // What can't be kept has the one origin as its source wherever it goes: asked again by way of another
+        // cache by a hundred gateways, a slow origin only gets slower. It moves for its cache's sake alone.
+        double doubt = Math.max(node.doubt.read(now), view.profile.kept() ? source.doubt.read(now) : 0);
+        return settings.recalls() && doubt > 3 ? new Answer.Recall(trip) : NOT_YET;
     }
 
     private final Fading ended = new Fading(3, 0);
@@ -571,7 +590,7 @@
     private void noteCopy(View view, Trip trip, Node node, Node source, double now) {
         Outcome outcome = trip.outcome;
         Item item = item(view, now);
-        boolean atHome = node == first(ranked(edges, key(view)), edge -> edge.usable(charge(view), now));
+        boolean atHome = node == home(edges, key(view), edge -> edge.usable(charge(view), now));
         double wait = seconds(outcome.took()) - work(view);
         if (outcome.detail() == Detail.HIT) {
             noteHit(item.density());
@@ -751,7 +770,7 @@
     private List<Node> parents(View view, boolean slow) {
         List<Node> order = ranked(parents, key(view));
         if (!slow) {
-            order.sort(Comparator.comparingInt(this::hubsAway));
+            order.sort(Comparator.comparingInt(parent -> parent.hubsAway));
         }
         return order;
     }
--- a/src/main/java/tamarindroute/net/CacheLine.java
+++ b/src/main/java/tamarindroute/net/CacheLine.java
@@ -31,6 +31,13 @@
     /** No word of the protocol's, and so an error after which it may have run. */
     private static final String SPOILT = "";
 
+    /**
+     * A connection that carries fewer takes the next request too: a handshake costs the cache work and its table of
+     * connections a place, and the request one to three ways there and back; the settings let one carry many. No more,
+     * for a connection that breaks costs all that is open on it.
+     */
+    private static final int FEW_OPEN = 4;
+
     /** Far more than a connection has given up in the time in which one view can be sent again. */
     private static final int MOST_QUIT = 500;
 
@@ -94,7 +101,7 @@
     }
 
     /**
-     * The least busy connection, or a new one while there are few and all are busy. Where no descriptor is left for
+     * The least busy connection, or a new one while there are few and all carry several requests. Where no descriptor is left for
      * another, a busy one carries the request too.
      */
     private Link pick(String id) {
@@ -107,7 +114,7 @@
             }
         }
         if (best == null || best.open.size() >= limits.requests()
-                || !best.open.isEmpty() && links.size() < limits.connections() && sockets.mayConnect()) {
+                || best.open.size() >= FEW_OPEN && links.size() < limits.connections() && sockets.mayConnect()) {
             best = new Link();
             links.add(best);
             best.connect();
