--- a/src/test/java/tamarindroute/gateway/FleetIT.java
+++ b/src/test/java/tamarindroute/gateway/FleetIT.java
@@ -104,6 +104,21 @@
         assertThat(ofStatus("RssAnon")).isLessThan(32 * 1024);
     }
 
+    /** An answer that the heap can't hold is refused with a line; the old list holds, and later events are taken. */
+    @Test
+    void anAnswerOfTheFeedThatIsTooLongLeavesTheOldList() throws Exception {
+        restartWithTheLeast();
+        feed.nonsense = "{\"n\":9,\"events\":[" + "x".repeat(3_000_000) + "]}";
+        logged("a body over");
+        serves("a");
+        feed.nonsense = null;
+        feed.tell(EDGE.formatted("s-0000000a", first.port(), "draining"));
+        next(feed.asked, "GET /v1/events?SUB=2");
+        first.seen.clear();
+        serves("b");
+        assertThat(first.seen).isEmpty();
+    }
+
     /** The class archive stays a file's where it is mapped where it was made for; moved, 8 MB of it are the process's own. */
     @Test
     void aStartedGatewayLeavesRoomInTheLeastMemory() throws Exception {
--- a/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/src/test/java/tamarindroute/net/ConnectTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -82,21 +83,7 @@
                     new CacheLine.Limits(4, 100, Duration.ofSeconds(2), Duration.ZERO));
             CompletableFuture<Boolean> written = new CompletableFuture<>();
             owner.thread.submit(() -> {
-                line.ask("1", "-", List.of(), 0, new Asked() {
-                    @Override
-                    public void answered(String word, Fields fields, int length) { }
-
-                    @Override
-                    public void body(ByteBuffer part, Connection from) { }
-
-                    @Override
-                    public void whole() { }
-
-                    @Override
-                    public void ended(Ending ending, boolean whole) {
-                        written.complete(whole);
-                    }
-                });
+                line.ask("1", "-", List.of(), 0, waiting(true, (ending, whole) -> written.complete(whole)));
                 line.letGo();
             }).get();
             assertThat(written.get(2, TimeUnit.SECONDS)).isFalse();
@@ -113,8 +100,8 @@
                     new CacheLine.Limits(1, 100, Duration.ofSeconds(2), Duration.ZERO));
             CompletableFuture<Ending> drained = new CompletableFuture<>();
             owner.thread.submit(() -> {
-                line.ask("1", "-", List.of(), 0, waiting(false, drained));
-                line.ask("2", "-", List.of(), 0, waiting(true, new CompletableFuture<>()));
+                line.ask("1", "-", List.of(), 0, waiting(false, (ending, whole) -> drained.complete(ending)));
+                line.ask("2", "-", List.of(), 0, waiting(true, (ending, whole) -> { }));
             }).get();
             assertThat(drained.get(2, TimeUnit.SECONDS)).isEqualTo(Ending.OVERTAKEN);
             try (Socket cache = server.accept()) {
@@ -127,7 +114,7 @@
         }
     }
 
-    private static Asked waiting(boolean wanted, CompletableFuture<Ending> end) {
+    private static Asked waiting(boolean wanted, BiConsumer<Ending, Boolean> end) {
         return new Asked() {
             @Override
             public boolean stillWanted() {
@@ -145,7 +132,7 @@
 
             @Override
             public void ended(Ending ending, boolean whole) {
-                end.complete(ending);
+                end.accept(ending, whole);
             }
         };
     }
