--- a/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -114,8 +114,7 @@
                         }
                         frame(reader.words());
                         // What came with a command that has no use for it must not stand ahead of the next call's.
-                        body.forEach(IoBuffer::free);
-                        body.clear();
+                        dropBody();
                     }
                 }
             }
@@ -125,6 +124,11 @@
         }
     }
 
+    private void dropBody() {
+        body.forEach(IoBuffer::free);
+        body.clear();
+    }
+
     private void frame(List<String> words) throws MalformedException {
         if (words.size() < 2 || !isTag(words.get(1))) {
             throw new MalformedException("a frame without a tag");
@@ -189,8 +193,7 @@
         if (patience != null) {
             patience.run();
         }
-        body.forEach(IoBuffer::free);
-        body.clear();
+        dropBody();
         List.copyOf(open.values()).forEach(admit::vanished);
         outlet.ended();
     }
--- a/src/main/java/tamarindroute/host/Roster.java
+++ b/src/main/java/tamarindroute/host/Roster.java
@@ -157,13 +157,10 @@
 
         @Override
         public void server(JsonObject entry) {
-            try {
+            readable(() -> {
                 told.add(entry.get("id").getAsString());
                 member(entry);
-            } catch (IllegalArgumentException | NullPointerException | IllegalStateException | ClassCastException
-                    | UnsupportedOperationException e) {
-                Log.line("event-unreadable", entry.get("id") + ": " + e.getMessage());
-            }
+            }, entry.get("id"));
         }
 
         @Override
@@ -178,11 +175,16 @@
 
         @Override
         public void purge(JsonObject purge) {
+            readable(() -> purged(purge), "a purge");
+        }
+
+        /** All that the JSON library and our own reading throw at an entry of another form. */
+        private void readable(Runnable reading, Object what) {
             try {
-                purged(purge);
+                reading.run();
             } catch (IllegalArgumentException | NullPointerException | IllegalStateException | ClassCastException
                     | UnsupportedOperationException e) {
-                Log.line("event-unreadable", "a purge: " + e.getMessage());
+                Log.line("event-unreadable", what + ": " + e.getMessage());
             }
         }
 
--- a/src/main/java/tamarindroute/net/CacheLine.java
+++ b/src/main/java/tamarindroute/net/CacheLine.java
@@ -101,8 +101,8 @@
     }
 
     /**
-     * The least busy connection, or a new one while there are few and all carry several requests. Where no descriptor is left for
-     * another, a busy one carries the request too.
+     * The least busy connection, or a new one while there are few and all carry several requests. Where no
+     * descriptor is left for another, a busy one carries the request too.
      */
     private Link pick(String id) {
         Link best = null;
--- a/src/main/java/tamarindroute/net/Pool.java
+++ b/src/main/java/tamarindroute/net/Pool.java
@@ -31,7 +31,7 @@
 
     /** Whether bytes may be held that need not be: some room is kept for reads and final answers. */
     public boolean hasRoom() {
-        return out.get() < most * 3 / 4;
+        return hasRoomFor(0);
     }
 
     /** Whether so many bytes more may be held that need not be. */
--- a/src/main/java/tamarindroute/net/Sockets.java
+++ b/src/main/java/tamarindroute/net/Sockets.java
@@ -109,12 +109,13 @@
     public Connection connect(InetSocketAddress address, Peer peer) {
         Connection connection = new Connection(this);
         connection.peer = peer;
-        if (!mayConnect()) {
-            timers.handOver(() -> connection.close(Ending.NO_DESCRIPTOR, false));
-            return connection;
-        }
         if (connected.size() >= mostConnected) {
-            idlest(connected).close(Ending.LET_GO, true);
+            Connection out = idlest(connected);
+            if (out == null) {
+                timers.handOver(() -> connection.close(Ending.NO_DESCRIPTOR, false));
+                return connection;
+            }
+            out.close(Ending.LET_GO, true);
         }
         connected.add(connection);
         ConnectFuture future = connector.connect(address,
--- a/src/test/java/tamarindroute/gateway/FleetIT.java
+++ b/src/test/java/tamarindroute/gateway/FleetIT.java
@@ -25,13 +25,13 @@
 
     private static final String SERVERS = "\"servers\": [";
 
-    private static String edge(int number, int port, int weight, long startedMillis) {
+    private static String edge(int number, int port) {
         return "{\"id\":\"s-%08x\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"shed\",\"kind\":\"edge\",\"cell\":0,\"state\":\"ready\","
-                .formatted(0x1000 + number, port) + "\"weight\":" + weight + ",\"started_ms\":" + startedMillis + "}";
+                .formatted(0x1000 + number, port) + "\"weight\":40,\"started_ms\":0}";
     }
 
     private String edges(int from, int to) {
-        return IntStream.range(from, to).mapToObj(i -> edge(i, (i % 2 == 0 ? first : second).port(), 40, 0))
+        return IntStream.range(from, to).mapToObj(i -> edge(i, (i % 2 == 0 ? first : second).port()))
                 .collect(Collectors.joining(","));
     }
 
@@ -135,7 +135,7 @@
             many.add(new ToyServer.Cache(0));
         }
         caches.addAll(many);
-        rewrite(SERVERS, SERVERS + IntStream.range(0, many.size()).mapToObj(i -> edge(i, many.get(i).port(), 40, 0))
+        rewrite(SERVERS, SERVERS + IntStream.range(0, many.size()).mapToObj(i -> edge(i, many.get(i).port()))
                 .collect(Collectors.joining(",")) + ",");
         descriptors = 256;
         restartWithTheLeast();
