A workspace of Maven modules; the seal moves down a floor; who members are

The old program is the module router, unmoved within; its jar, libraries and class archive stay in the root's target, so that deploy and what is started are as before.

--- a/src/main/java/tamarindroute/vrrp/Seal.java
+++ b/router/src/main/java/tamarindroute/protocol/Seal.java
@@ -1,4 +1,4 @@
-package tamarindroute.vrrp;
+package tamarindroute.protocol;
 
 import java.nio.ByteBuffer;
 import java.security.GeneralSecurityException;
@@ -7,7 +7,6 @@
 import java.util.Map;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
-import tamarindroute.protocol.MalformedException;
 
 /**
  * Owns the proof that a message is a peer's and new: a key's id, the sender's run and a number that grows within it,
--- a/src/main/java/tamarindroute/standby/Endpoint.java
+++ b/router/src/main/java/tamarindroute/standby/Endpoint.java
@@ -18,7 +18,7 @@
 import tamarindroute.vrrp.Ballot;
 import tamarindroute.vrrp.Election;
 import tamarindroute.vrrp.Quorum;
-import tamarindroute.vrrp.Seal;
+import tamarindroute.protocol.Seal;
 
 /**
  * One gateway's address for advertisements and the virtual routers on it. Peers are those that the settings tell, by
--- a/src/main/java/tamarindroute/standby/Post.java
+++ b/router/src/main/java/tamarindroute/standby/Post.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import tamarindroute.net.Datagrams;
 import tamarindroute.protocol.MalformedException;
-import tamarindroute.vrrp.Seal;
+import tamarindroute.protocol.Seal;
 
 /**
  * One address's sending and opening of messages: the numbers of what it seals, and what it has heard of each sender.
--- a/src/main/java/tamarindroute/standby/Witness.java
+++ b/router/src/main/java/tamarindroute/standby/Witness.java
@@ -9,7 +9,7 @@
 import tamarindroute.net.Datagrams;
 import tamarindroute.protocol.MalformedException;
 import tamarindroute.vrrp.Ballot;
-import tamarindroute.vrrp.Seal;
+import tamarindroute.protocol.Seal;
 
 /** A third voter that carries nothing: it answers known candidates' sealed requests, and is never active itself. */
 public final class Witness {
--- a/src/test/java/tamarindroute/standby/EndpointTest.java
+++ b/router/src/test/java/tamarindroute/standby/EndpointTest.java
@@ -21,7 +21,7 @@
 import tamarindroute.host.Clock;
 import tamarindroute.net.Datagrams;
 import tamarindroute.vrrp.Election;
-import tamarindroute.vrrp.Seal;
+import tamarindroute.protocol.Seal;
 
 /** Two and three gateways' elections over UDP on loopback, each with a thread of its own. */
 @Timeout(60)
--- a/src/test/java/tamarindroute/vrrp/VrrpTest.java
+++ b/router/src/test/java/tamarindroute/vrrp/VrrpTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import tamarindroute.protocol.MalformedException;
+import tamarindroute.protocol.Seal;
 
 /** The codec, the seal, the candidate's worth, a voter's grants, and the machine explored exhaustively. */
 class VrrpTest {
