No package knows another in a circle: what starts the platform's commands stands below both

Cause: `Main` called cli.Commands, which took exit codes and the run of `serve` and `wirehost` from `Main`: the one circle between packages that was left.

Change: tamarindroute.start.Start has the exit codes and the run of the two; `Main` knows the command line by its name only. ArchitectureTest has a rule against any circle between packages, seen to fail where Start calls Main (and by a test of its own on a library that has circles). It passes over the tests' jar of `router`.

--- a/cli/src/main/java/tamarindroute/cli/Ask.java
+++ b/cli/src/main/java/tamarindroute/cli/Ask.java
@@ -27,7 +27,6 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import tamarindroute.Main;
 import tamarindroute.config.ServiceSettings;
 import tamarindroute.dns.Frames;
 import tamarindroute.dns.Subnet;
@@ -41,6 +40,7 @@
 import tamarindroute.net.Sockets;
 import tamarindroute.protocol.MalformedException;
 import tamarindroute.resolver.Forwarder;
+import tamarindroute.start.Start;
 
 /** Asks one name server one question and prints all that it says. */
 @Command(name = "ask", mixinStandardHelpOptions = true,
@@ -139,7 +139,7 @@
             Message message = new Message(answer.get(within, TimeUnit.MILLISECONDS));
             if (message.getHeader().getID() != query.getHeader().getID()) {
                 System.err.println("ask: an answer to another query");
-                return Main.FAILED;
+                return Start.FAILED;
             }
             System.out.println(message);
             System.out.println(";; " + (System.nanoTime() - from) / 1000 + " us from " + server);
@@ -151,7 +151,7 @@
         } catch (InterruptedException | IOException e) {
             System.err.println("ask: " + e.getMessage());
         }
-        return Main.FAILED;
+        return Start.FAILED;
     }
 
     private Message query() {
--- a/cli/src/main/java/tamarindroute/cli/Commands.java
+++ b/cli/src/main/java/tamarindroute/cli/Commands.java
@@ -9,13 +9,13 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
-import tamarindroute.Main;
 import tamarindroute.config.ServiceSettings;
 import tamarindroute.config.UnusableException;
 import tamarindroute.log.Log;
 import tamarindroute.nameserver.NameServer;
 import tamarindroute.policy.Brain;
 import tamarindroute.settings.MalformedSettingsException;
+import tamarindroute.start.Start;
 
 /** The subcommands with their help; what each does stands elsewhere. */
 @Command(name = "tamarindroute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
@@ -66,7 +66,7 @@
         @Override
         public Integer call() {
             logging.choose();
-            int code = Main.run("serve");
+            int code = Start.run("serve");
             return code == 0 ? GOES_ON : code;
         }
     }
@@ -76,7 +76,7 @@
     static final class WireHost implements Callable<Integer> {
         @Override
         public Integer call() {
-            return Main.run("wirehost");
+            return Start.run("wirehost");
         }
     }
 
@@ -128,7 +128,7 @@
                 return 0;
             } catch (UnusableException e) {
                 e.faults().forEach(System.err::println);
-                return Main.MALFORMED;
+                return Start.MALFORMED;
             }
         }
     }
@@ -149,7 +149,7 @@
                 .setExecutionExceptionHandler((failure, command, parsed) -> {
                     System.err.println(command.getCommandName() + ": " + failure.getMessage());
                     return failure instanceof MalformedSettingsException || failure instanceof UnusableException
-                            ? Main.MALFORMED : Main.FAILED;
+                            ? Start.MALFORMED : Start.FAILED;
                 });
     }
 }
--- /dev/null
+++ b/cli/src/main/java/tamarindroute/start/Start.java
@@ -0,0 +1,40 @@
+package tamarindroute.start;
+
+import java.io.IOException;
+import tamarindroute.gateway.Gateway;
+import tamarindroute.policy.Brain;
+import tamarindroute.settings.MalformedSettingsException;
+import tamarindroute.wirehost.MalformedFrameException;
+import tamarindroute.wirehost.WireHost;
+
+/** Runs the two subcommands of the operators' platform and tells with which code the process ends. */
+public final class Start {
+
+    /** Something a peer, a file or the machine did; the message says what. */
+    public static final int FAILED = 1;
+    /** A configuration or a frame that can't be used. */
+    public static final int MALFORMED = 3;
+
+    private Start() { }
+
+    /** Runs one of the two; 0 where it goes on in threads of its own or has ended in order. */
+    public static int run(String subcommand) {
+        try {
+            if (subcommand.equals("serve")) {
+                Gateway.start(System.getenv("EDGE_CONFIG"), Brain::new);
+            } else {
+                new WireHost(Brain::new).serve(System.in, System.out);
+            }
+            return 0;
+        } catch (MalformedFrameException e) {
+            System.err.println("wirehost: malformed frame: " + e.getMessage());
+            return MALFORMED;
+        } catch (MalformedSettingsException e) {
+            System.err.println(subcommand + ": malformed settings: " + e.getMessage());
+            return MALFORMED;
+        } catch (IOException e) {
+            System.err.println(subcommand + ": " + e.getMessage());
+            return FAILED;
+        }
+    }
+}
--- a/cli/src/test/java/tamarindroute/ArchitectureTest.java
+++ b/cli/src/test/java/tamarindroute/ArchitectureTest.java
@@ -2,22 +2,44 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
 import org.junit.jupiter.api.Test;
 
 /** Which package may know which: the rules that each package's opening paragraph tells. */
 class ArchitectureTest {
 
     private static final JavaClasses PROGRAM = new ClassFileImporter()
-            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("tamarindroute");
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .withImportOption(location -> !location.contains("-tests.jar")).importPackages("tamarindroute");
     private static final String[] FRONTS = {"gateway", "wirehost", "nameserver"};
 
+    /** Each package a slice of its own, those above and below another among them. */
+    private static ArchRule noCircles(String root) {
+        return slices().matching("(" + root + "..)").should().beFreeOfCycles();
+    }
+
+    @Test
+    void noPackagesKnowEachOtherInACircle() {
+        noCircles("tamarindroute").check(PROGRAM);
+    }
+
+    /** The rule must see the first class's package too, and must be able to fail: a library shows it. */
+    @Test
+    void aCircleWouldBeSeen() {
+        assertThat(PROGRAM.contain(Main.class)).isTrue();
+        JavaClasses library = new ClassFileImporter().importPackages("ch.qos.logback.classic");
+        assertThat(noCircles("ch.qos.logback.classic").evaluate(library).hasViolation()).isTrue();
+    }
+
     @Test
     void theModuleAndItsInterfaceAreFreeOfIo() {
-        noClasses().that().resideInAPackage("tamarindroute.decision").or().resideInAPackage("tamarindroute.policy")
+        noClasses().that().resideInAnyPackage("tamarindroute.decision", "tamarindroute.policy")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..",
                 "java.nio.file..", "java.util.concurrent..", "org..", "com..", "tamarindroute.net..",
                 "tamarindroute.host..", "tamarindroute.log..", "tamarindroute.protocol..").check(PROGRAM);
@@ -63,9 +85,9 @@
                 }
             }
             noClasses().that().resideInAnyPackage("tamarindroute.host", "tamarindroute.net", "tamarindroute.protocol",
-                    "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.log", "tamarindroute.dns",
-                    "tamarindroute.resolver", "tamarindroute.vrrp", "tamarindroute.standby").should().dependOnClassesThat()
-                    .resideInAPackage("tamarindroute." + front).check(PROGRAM);
+                    "tamarindroute.decision", "tamarindroute.policy", "tamarindroute.settings", "tamarindroute.log",
+                    "tamarindroute.dns", "tamarindroute.resolver", "tamarindroute.vrrp", "tamarindroute.standby")
+                    .should().dependOnClassesThat().resideInAPackage("tamarindroute." + front).check(PROGRAM);
         }
     }
 
@@ -73,8 +95,9 @@
     @Test
     void theGatewayUsesNoneOfTheOtherCommandsLibraries() {
         noClasses().that().resideInAnyPackage("tamarindroute.gateway", "tamarindroute.host", "tamarindroute.net",
-                "tamarindroute.protocol", "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.wirehost")
-                .or().resideInAPackage("tamarindroute.policy").or().haveSimpleName("Log").or().haveSimpleName("Small")
+                "tamarindroute.protocol", "tamarindroute.decision", "tamarindroute.settings", "tamarindroute.wirehost",
+                "tamarindroute.policy", "tamarindroute.start").or().haveSimpleName("Main")
+                .or().haveSimpleName("Log").or().haveSimpleName("Small")
                 .should().dependOnClassesThat()
                 .resideInAnyPackage("picocli..", "ch.qos.logback..", "org.xbill..").check(PROGRAM);
     }
