--- a/router/src/main/java/tamarindroute/host/Clock.java
+++ b/router/src/main/java/tamarindroute/host/Clock.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.PriorityQueue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.locks.LockSupport;
 import tamarindroute.log.Log;
 import tamarindroute.net.Timers;
 
@@ -34,11 +32,10 @@
     private static final int FEW = 1000;
 
     private final Instant start = Instant.now();
-    private final ConcurrentLinkedQueue<Runnable> handed = new ConcurrentLinkedQueue<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Thread owner = new Thread(this::run, "owner");
+    private final HandOver handed = new HandOver(owner);
     private int calledOff;
-    private volatile boolean resting;
 
     public Clock() {
         owner.start();
@@ -56,10 +53,7 @@
 
     @Override
     public void handOver(Runnable task) {
-        handed.add(task);
-        if (resting) {
-            LockSupport.unpark(owner);
-        }
+        handed.handOver(task);
     }
 
     /** A timer that is called off lets go of its task at once, and of its place when most of them are so. */
@@ -95,11 +89,7 @@
                 guarded(task);
                 continue;
             }
-            resting = true;
-            if (handed.isEmpty()) {
-                LockSupport.parkNanos(this, left);
-            }
-            resting = false;
+            handed.rest(left);
         }
     }
 
--- a/router/src/main/java/tamarindroute/log/Guard.java
+++ b/router/src/main/java/tamarindroute/log/Guard.java
@@ -4,12 +4,21 @@
 import java.util.Map;
 
 /** Lets one line a second through for each topic and counts the others. Topics are few: they stand in the code. */
-final class Guard {
+class Guard {
 
     private static final long PAUSE = 1_000;
 
     private final Map<String, long[]> last = new HashMap<>();
 
+    /** Read under the lock: a time read before another thread's later one would look like a clock set back. */
+    synchronized int pass(String topic) {
+        return pass(topic, now());
+    }
+
+    long now() {
+        return System.currentTimeMillis();
+    }
+
     /** How many lines were left out before this one; -1 where this one is left out as well. */
     synchronized int pass(String topic, long now) {
         long[] of = last.computeIfAbsent(topic, t -> new long[] {Long.MIN_VALUE / 2, 0});
--- a/router/src/main/java/tamarindroute/log/Log.java
+++ b/router/src/main/java/tamarindroute/log/Log.java
@@ -45,7 +45,7 @@
 
     /** One line with named values: a name, its value, and so on. */
     public static void event(String topic, Object particulars, Object... named) {
-        int leftOut = GUARD.pass(topic, System.currentTimeMillis());
+        int leftOut = GUARD.pass(topic);
         if (leftOut < 0) {
             return;
         }
--- a/router/src/main/java/tamarindroute/net/Datagrams.java
+++ b/router/src/main/java/tamarindroute/net/Datagrams.java
@@ -59,7 +59,7 @@
     private final Timers timers;
     private NioDatagramAcceptor acceptor;
     private NioDatagramConnector connector;
-    private final AtomicInteger waiting = new AtomicInteger();
+    private final Bound waiting = new Bound(MOST_WAITING);
     private final AtomicInteger dropped = new AtomicInteger();
     private int asking;
 
@@ -94,8 +94,7 @@
 
     /** On MINA's thread: hands a datagram over, or drops it unread where too many wait. */
     private void handOver(Object message, Consumer<byte[]> to) {
-        if (waiting.incrementAndGet() > MOST_WAITING) {
-            waiting.decrementAndGet();
+        if (!waiting.enter()) {
             dropped.incrementAndGet();
             return;
         }
@@ -103,7 +102,7 @@
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         timers.handOver(() -> {
-            waiting.decrementAndGet();
+            waiting.leave();
             to.accept(bytes);
         });
     }
--- a/router/src/main/java/tamarindroute/net/Pool.java
+++ b/router/src/main/java/tamarindroute/net/Pool.java
@@ -20,13 +20,14 @@
 
     private final int most;
     private final ConcurrentLinkedQueue<ByteBuffer> free = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger spare = new AtomicInteger();
+    private final Bound spare;
     private final AtomicInteger out = new AtomicInteger();
     private volatile Runnable roomAgain = () -> { };
 
     /** A quarter of the memory told may be in buffers, or a third of the heap, which is the smaller one if little is. */
     public Pool(long memory) {
         this.most = (int) (Math.min(memory / 4, Runtime.getRuntime().maxMemory() / 3) / SIZE);
+        this.spare = new Bound(most);
     }
 
     /** Whether bytes may be held that need not be: some room is kept for reads and final answers. */
@@ -36,7 +37,12 @@
 
     /** Whether so many bytes more may be held that need not be. */
     public boolean hasRoomFor(long bytes) {
-        return out.get() + (bytes + SIZE - 1) / SIZE < most * 3 / 4;
+        return out.get() + (bytes + SIZE - 1) / SIZE < roomy();
+    }
+
+    /** So many out, there is no more room. */
+    private int roomy() {
+        return most * 3 / 4;
     }
 
     /** Called on any thread when there is room again after there was none. */
@@ -47,7 +53,7 @@
     IoBuffer take() {
         ByteBuffer bytes = free.poll();
         if (bytes != null) {
-            spare.decrementAndGet();
+            spare.leave();
         }
         out.incrementAndGet();
         return new Pooled(bytes == null ? ByteBuffer.allocate(SIZE) : bytes.clear(), true);
@@ -133,14 +139,13 @@
         @Override
         public void free() {
             if (held.compareAndSet(true, false)) {
-                boolean hadRoom = hasRoom();
-                out.decrementAndGet();
+                // In one step: one taken between a look and this would fill the pool, and room again be told to none.
+                int left = out.decrementAndGet();
                 // What a rush took beyond the share goes back to the heap.
-                if (bytes.capacity() == SIZE && spare.get() < most) {
-                    spare.incrementAndGet();
+                if (bytes.capacity() == SIZE && spare.enter()) {
                     free.add(bytes);
                 }
-                if (!hadRoom && hasRoom()) {
+                if (left == roomy() - 1) {
                     roomAgain.run();
                 }
             }
