--- a/membership/src/main/java/tamarindroute/membership/Message.java
+++ b/membership/src/main/java/tamarindroute/membership/Message.java
@@ -30,7 +30,9 @@
         EXCHANGE,
         EXCHANGE_BACK,
         /** I go. */
-        LEAVE
+        LEAVE,
+        /** What I heard lately; wants no answer. */
+        GOSSIP
     }
 
     public Message {
