--- a/membership/src/main/java/tamarindroute/membership/Draws.java
+++ b/membership/src/main/java/tamarindroute/membership/Draws.java
@@ -40,12 +40,13 @@
         return crc.getValue();
     }
 
-    /** CRC-32 is linear: neighbours' draws would go in step, so its value is spread by two products. */
+    /** CRC-32 is linear: neighbours' draws would go in step, so its value is spread as SplitMix64 does. */
     static long mixed(long one, long other) {
         CRC32 crc = new CRC32();
         crc.update(ByteBuffer.allocate(16).putLong(one).putLong(other).flip());
-        long mixed = (crc.getValue() ^ one << 32 ^ other) * 0x9E3779B97F4A7C15L;
-        mixed = (mixed ^ mixed >>> 29) * 0xBF58476D1CE4E5B9L;
-        return mixed ^ mixed >>> 32;
+        long mixed = one + (crc.getValue() + 1) * 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ mixed >>> 30) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94D049BB133111EBL;
+        return mixed ^ mixed >>> 31;
     }
 }
--- a/membership/src/main/java/tamarindroute/membership/Membership.java
+++ b/membership/src/main/java/tamarindroute/membership/Membership.java
@@ -176,6 +176,10 @@
         Entry next = own.roll.next(own.draws);
         if (next != null) {
             prober.probe(next);
+            Entry after = own.roll.successor((int) Draws.hash(own.self), own.self.address());
+            if (after != null) {
+                prober.probe(after);
+            }
         }
         if (own.draws.below(AWAY_EVERY) == 0) {
             Entry away = own.roll.someAway(own.draws);
--- a/membership/src/main/java/tamarindroute/membership/Prober.java
+++ b/membership/src/main/java/tamarindroute/membership/Prober.java
@@ -18,6 +18,8 @@
         final Member target;
         final long number;
         final long sentAt;
+        /** As it was held when it was asked: what came later is not what was asked. */
+        final long incarnation;
         long nextAt;
         int stage;
         boolean refused;
@@ -25,16 +27,17 @@
         final Member asker;
         final long askerNumber;
 
-        Probe(Member target, long number, long sentAt, Member asker, long askerNumber) {
+        Probe(Member target, long number, long sentAt, long incarnation, Member asker, long askerNumber) {
             this.target = target;
             this.number = number;
             this.sentAt = sentAt;
+            this.incarnation = incarnation;
             this.asker = asker;
             this.askerNumber = askerNumber;
         }
 
         Probe copy() {
-            Probe copy = new Probe(target, number, sentAt, asker, askerNumber);
+            Probe copy = new Probe(target, number, sentAt, incarnation, asker, askerNumber);
             copy.nextAt = nextAt;
             copy.stage = stage;
             copy.refused = refused;
@@ -42,7 +45,7 @@
         }
 
         List<Object> key(long now) {
-            return List.of(target, number, now - sentAt, nextAt - now, stage, refused,
+            return List.of(target, number, now - sentAt, incarnation, nextAt - now, stage, refused,
                     asker == null ? "" : asker, askerNumber);
         }
     }
@@ -93,24 +96,26 @@
     void probe(Entry entry) {
         boolean asked = open.values().stream().anyMatch(p -> p.asker == null && p.target.equals(entry.member));
         if (!asked) {
-            begin(entry.member, null, 0);
+            begin(entry, null, 0);
         }
     }
 
     void probeFor(Member target, Member asker, long askerNumber) {
-        if (own.roll.find(target) != null) {
-            begin(target, asker, askerNumber);
+        Entry entry = own.roll.find(target);
+        if (entry != null) {
+            begin(entry, asker, askerNumber);
         }
     }
 
-    private void begin(Member target, Member asker, long askerNumber) {
+    private void begin(Entry target, Member asker, long askerNumber) {
         if (open.size() >= MOST) {
             return;
         }
-        Probe probe = new Probe(target, own.number(), own.now, asker, askerNumber);
+        Probe probe = new Probe(target.member, own.number(), own.now, target.incarnation, asker,
+                askerNumber);
         probe.nextAt = own.now + own.health.stage();
         open.put(probe.number, probe);
-        sends.send(Message.Kind.PROBE, target, probe.number, own.self);
+        sends.send(Message.Kind.PROBE, target.member, probe.number, own.self);
     }
 
     void due() {
@@ -164,7 +169,7 @@
         // Only who is itself answered may accuse: else it is more likely that it is cut off.
         boolean mayAccuse = !own.settings.guards().health()
                 || watch.at(own.now).inTouch() && watch.answeredWithin(own.now - probe.sentAt + own.period);
-        if (entry != null && entry.live() && mayAccuse) {
+        if (entry != null && entry.live() && entry.incarnation == probe.incarnation && mayAccuse) {
             suspicion.report(entry, own.self.address());
         }
     }
--- a/membership/src/main/java/tamarindroute/membership/Roll.java
+++ b/membership/src/main/java/tamarindroute/membership/Roll.java
@@ -146,6 +146,21 @@
         return live.get(turn++);
     }
 
+    /**
+     * The next one on the ring of all by hash, whom this one alone always probes; where it told already that one does
+     * not answer, the one behind. Null for none.
+     */
+    Entry successor(int hash, Address own) {
+        Entry next = null;
+        for (Entry entry : live) {
+            boolean told = entry.reporters != null && entry.reporters.contains(own);
+            if (!told && (next == null || Integer.compareUnsigned(entry.hash - hash, next.hash - hash) < 0)) {
+                next = entry;
+            }
+        }
+        return next;
+    }
+
     /** Some that are held alive, at random, but this one; fewer where there are fewer or draws do not find them. */
     List<Entry> some(int count, Entry but, Draws draws) {
         List<Entry> some = new ArrayList<>(count);
