--- a/membership/src/main/java/tamarindroute/membership/Membership.java
+++ b/membership/src/main/java/tamarindroute/membership/Membership.java
@@ -173,14 +173,9 @@
     }
 
     private void period() {
-        Entry next = own.roll.next(own.draws);
-        if (next != null) {
-            prober.probe(next);
-            Entry after = own.roll.successor((int) Draws.hash(own.self), own.self.address());
-            if (after != null) {
-                prober.probe(after);
-            }
-        }
+        probe(own.roll.next(own.draws));
+        probe(own.roll.successor((int) Draws.hash(own.self), own.self.address()));
+        probe(watch.teller() == null ? null : own.roll.find(watch.teller()));
         if (own.draws.below(AWAY_EVERY) == 0) {
             Entry away = own.roll.someAway(own.draws);
             if (away != null) {
@@ -196,6 +191,12 @@
         }
     }
 
+    private void probe(Entry entry) {
+        if (entry != null && entry.live()) {
+            prober.probe(entry);
+        }
+    }
+
     private void round() {
         suspicion.due();
         exchange.round();
--- a/membership/src/main/java/tamarindroute/membership/Prober.java
+++ b/membership/src/main/java/tamarindroute/membership/Prober.java
@@ -55,6 +55,8 @@
     private final SelfWatch watch;
     private final Suspicion suspicion;
     private final Map<Long, Probe> open = new LinkedHashMap<>();
+    /** When the first of them is due; -1 where that is to be found out again. */
+    private long first = -1;
 
     Prober(Own own, Sends sends, SelfWatch watch, Suspicion suspicion) {
         this.own = own;
@@ -77,20 +79,26 @@
 
     void clear() {
         open.clear();
+        first = -1;
     }
 
     /** Time in which this one did not run is nobody's silence. */
     void shift(long late) {
-        open.values().forEach(probe -> probe.nextAt += late);
+        if (late > 0) {
+            open.values().forEach(probe -> probe.nextAt += late);
+            first = -1;
+        }
     }
 
     /** The first moment at which something is due; far away for none. */
     long dueAt() {
-        long due = Long.MAX_VALUE;
-        for (Probe probe : open.values()) {
-            due = Math.min(due, probe.nextAt);
+        if (first < 0) {
+            first = Long.MAX_VALUE;
+            for (Probe probe : open.values()) {
+                first = Math.min(first, probe.nextAt);
+            }
         }
-        return due;
+        return first;
     }
 
     void probe(Entry entry) {
@@ -115,10 +123,15 @@
                 askerNumber);
         probe.nextAt = own.now + own.health.stage();
         open.put(probe.number, probe);
+        first = -1;
         sends.send(Message.Kind.PROBE, target.member, probe.number, own.self);
     }
 
     void due() {
+        if (own.now < dueAt()) {
+            return;
+        }
+        first = -1;
         for (Probe probe : List.copyOf(open.values())) {
             if (probe.nextAt <= own.now) {
                 probe.stage++;
@@ -180,6 +193,7 @@
             return;
         }
         open.remove(message.number());
+        first = -1;
         if (probe.asker != null) {
             sends.send(Message.Kind.ACK, probe.asker, probe.askerNumber, probe.target, List.of(), true);
             return;
--- a/membership/src/main/java/tamarindroute/membership/SelfWatch.java
+++ b/membership/src/main/java/tamarindroute/membership/SelfWatch.java
@@ -17,6 +17,10 @@
     /** One that holds on to an old word may be at odds itself; two observers make a cut of the smallest memberships. */
     private static final int TELLERS = 2;
     private static final int MOST_TELLERS = 8;
+    /** Those on the far side of a cut ask each other every few periods; a teller counts for so many patiences. */
+    private static final int HELD = 4;
+    /** A refutation gets around in little more than a period at 1,000 members; after two, who holds on has not heard. */
+    private static final int REFUTED_IN = 2;
 
     private final Own own;
     private boolean joined;
@@ -50,7 +54,7 @@
 
     /** Long past is long past. */
     List<Object> key(long now) {
-        long far = 2 * patience();
+        long far = HELD * patience();
         List<Object> key = new ArrayList<>(List.of(joined, left, Math.min(pausedFor, far),
                 Math.min(far, now - answeredAt), refutedAt < 0 ? -1 : Math.min(far, now - refutedAt),
                 told.condition(), dueAt - now));
@@ -113,7 +117,7 @@
 
     /** Another still holds what was refuted; it counts once the refutation has had time to get around. */
     void stillAccusedBy(Address teller) {
-        if (refutedAt >= 0 && own.now - refutedAt > own.settings.pause().toNanos()) {
+        if (refutedAt >= 0 && own.now - refutedAt > REFUTED_IN * own.period) {
             tellers.remove(teller);
             tellers.put(teller, own.now);
             if (tellers.size() > MOST_TELLERS) {
@@ -122,9 +126,19 @@
         }
     }
 
+    /** Whoever holds one to be suspect or away says so with every message: this one no longer does. */
+    void notAccusedBy(Address sender) {
+        tellers.remove(sender);
+    }
+
+    /** One that held on to an old word, longest unheard: it is asked whether it still does. Null for none. */
+    Address teller() {
+        return tellers.isEmpty() ? null : tellers.keySet().iterator().next();
+    }
+
     /** While somebody holds an old word, one's own is said with every message. */
     boolean accused(long now) {
-        return tellers.values().stream().anyMatch(at -> now - at <= 2 * patience())
+        return tellers.values().stream().anyMatch(at -> now - at <= HELD * patience())
                 || refutedAt >= 0 && now - refutedAt <= patience();
     }
 
@@ -156,7 +170,7 @@
         if (alone()) {
             return false;
         }
-        long holding = tellers.values().stream().filter(at -> now - at <= 2 * patience()).count();
+        long holding = tellers.values().stream().filter(at -> now - at <= HELD * patience()).count();
         return now - answeredAt > patience() || holding >= TELLERS;
     }
 
--- a/membership/src/main/java/tamarindroute/membership/Words.java
+++ b/membership/src/main/java/tamarindroute/membership/Words.java
@@ -112,6 +112,9 @@
                 take(rumour, message.from());
             }
         }
+        if (!accused) {
+            watch.notAccusedBy(message.from().address());
+        }
         return accused;
     }
 
