--- a/membership/src/test/java/tamarindroute/membership/Schedule.java
+++ b/membership/src/test/java/tamarindroute/membership/Schedule.java
@@ -21,6 +21,8 @@
     private Checker checker;
     private final List<String> unmet = new ArrayList<>();
     private Message kept;
+    /** What each is told; all the same but for a seeded defect. */
+    java.util.function.IntFunction<Settings> settingsOf = place -> Settings.USUAL;
 
     Schedule(String name) {
         try {
@@ -36,11 +38,12 @@
 
     record Outcome(Checker checker, List<String> unmet) { }
 
-    Outcome play(long seed, Settings settings, UnaryOperator<Sim.Machine> defect) {
+    Outcome play(long seed, UnaryOperator<Sim.Machine> defect) {
         for (String[] line : lines) {
             if (line[0].equals("members")) {
-                sim = new Sim(settings, number(line[1]), seed);
+                sim = new Sim(Settings.USUAL, number(line[1]), seed);
                 sim.defect = defect;
+                sim.settingsOf = settingsOf;
                 checker = new Checker(sim, Settings.USUAL.pause());
                 sim.cut = (from, to) -> cut.contains(new Way(from, to));
                 if (line.length > 2) {
@@ -74,9 +77,16 @@
                 checker.phase();
                 who.forEach(from -> range(line[3]).forEach(to -> cut.add(new Way(from, to))));
             }
+            case "unlucky" -> {
+                Address of = sim.nodes.get(number(line[3])).address;
+                sim.dropped = (to, m) -> to == number(line[2]) && (m.about().address().equals(of)
+                        || m.rumours().stream().anyMatch(r -> r.about().address().equals(of)
+                        && r.standing() == Standing.ALIVE));
+            }
             case "healed" -> {
                 checker.phase();
                 cut.clear();
+                sim.dropped = (to, m) -> false;
             }
             case "maygo" -> who.forEach(checker::mayGo);
             case "blind" -> who.forEach(checker::cannotKnow);
--- a/membership/src/test/java/tamarindroute/membership/ScheduleTest.java
+++ b/membership/src/test/java/tamarindroute/membership/ScheduleTest.java
@@ -22,7 +22,7 @@
     @MethodSource("schedules")
     void holds(String name) {
         for (long seed : List.of(1L, 2L)) {
-            Schedule.Outcome outcome = new Schedule(name).play(seed, Settings.USUAL, machine -> machine);
+            Schedule.Outcome outcome = new Schedule(name).play(seed, machine -> machine);
             assertThat(outcome.unmet()).as("%s, seed %d", name, seed).isEmpty();
             assertThat(outcome.checker().breaches).as("%s, seed %d", name, seed).isEmpty();
         }
--- a/membership/src/test/java/tamarindroute/membership/Sim.java
+++ b/membership/src/test/java/tamarindroute/membership/Sim.java
@@ -90,12 +90,16 @@
     long delayMin = MILLI / 2;
     long delayMax = 5 * MILLI;
     Cut cut = (from, to) -> false;
+    java.util.function.IntFunction<Settings> settingsOf;
+    /** What does not come through to one, beside cuts and loss. */
+    java.util.function.BiPredicate<Integer, Message> dropped = (to, message) -> false;
     java.util.function.UnaryOperator<Machine> defect = machine -> machine;
     long messages;
     long bytes;
 
     Sim(Settings settings, int count, long seed) {
         this.settings = settings;
+        this.settingsOf = place -> settings;
         this.random = new SplittableRandom(seed);
         for (int i = 0; i < count; i++) {
             Address address = new Address("10.0." + i / 250 + "." + i % 250, 7_000);
@@ -143,7 +147,7 @@
         node.waiting.clear();
         node.begunAt = now - random.nextInt(1_000_000);
         List<Address> seeds = nodes.stream().limit(3).map(n -> n.address).toList();
-        node.membership = new Membership(settings, new Member(node.address, birth), seeds, own(node));
+        node.membership = new Membership(settingsOf.apply(place), new Member(node.address, birth), seeds, own(node));
         node.machine = defect.apply(Machine.of(node.membership));
         node.tickAt = Long.MAX_VALUE;
         schedule(place);
@@ -265,7 +269,7 @@
 
     /** Puts a message on its way; also one that a former life sent long ago. */
     void fly(int from, int to, Message message) {
-        if (cut.at(from, to)) {
+        if (cut.at(from, to) || dropped.test(to, message)) {
             return;
         }
         int times = random.nextDouble() < doubled ? 2 : 1;
