--- a/membership/src/main/java/tamarindroute/membership/Health.java
+++ b/membership/src/main/java/tamarindroute/membership/Health.java
@@ -35,8 +35,9 @@
         return copy;
     }
 
+    /** Round trips by the wait that they lead to: in a small world all are the same. */
     List<Object> key() {
-        return List.of(score, trip, spread);
+        return List.of(score, stage());
     }
 
     void better() {
--- a/membership/src/main/java/tamarindroute/membership/Membership.java
+++ b/membership/src/main/java/tamarindroute/membership/Membership.java
@@ -80,6 +80,10 @@
         exchange.wantNothing();
     }
 
+    long sinceLast(long number) {
+        return own.sinceLast(number);
+    }
+
     /** All that decides what it will do, its times relative to now: equal keys have equal futures. */
     Object key(Duration now) {
         long at = now.toNanos();
--- a/membership/src/main/java/tamarindroute/membership/Own.java
+++ b/membership/src/main/java/tamarindroute/membership/Own.java
@@ -51,9 +51,14 @@
         return copy;
     }
 
-    /** Room to send is left out: it is refilled long before a small world needs it. */
+    /** Room to send is left out: it is refilled long before a small world needs it; numbers count from the last one. */
     List<Object> key(long at) {
-        return List.of(self, incarnation, numbers, roll.key(at), rumours.key(), health.key());
+        return List.of(self, incarnation, roll.key(at), rumours.key(), health.key());
+    }
+
+    /** A number told from the last one that was given out. */
+    long sinceLast(long number) {
+        return Math.floorMod(numbers - number, wrap);
     }
 
     long number() {
--- a/membership/src/main/java/tamarindroute/membership/Prober.java
+++ b/membership/src/main/java/tamarindroute/membership/Prober.java
@@ -44,8 +44,8 @@
             return copy;
         }
 
-        List<Object> key(long now) {
-            return List.of(target, number, now - sentAt, incarnation, nextAt - now, stage, refused,
+        List<Object> key(long since, long now) {
+            return List.of(target, since, now - sentAt, incarnation, nextAt - now, stage, refused,
                     asker == null ? "" : asker, askerNumber);
         }
     }
@@ -73,7 +73,7 @@
 
     List<Object> key(long now) {
         List<Object> key = new ArrayList<>();
-        open.values().forEach(probe -> key.add(probe.key(now)));
+        open.values().forEach(probe -> key.add(probe.key(own.sinceLast(probe.number), now)));
         return key;
     }
 
--- a/membership/src/main/java/tamarindroute/membership/SelfWatch.java
+++ b/membership/src/main/java/tamarindroute/membership/SelfWatch.java
@@ -55,8 +55,9 @@
     /** Long past is long past. */
     List<Object> key(long now) {
         long far = HELD * patience();
+        long past = patience() + 1;
         List<Object> key = new ArrayList<>(List.of(joined, left, Math.min(pausedFor, far),
-                Math.min(far, now - answeredAt), refutedAt < 0 ? -1 : Math.min(far, now - refutedAt),
+                Math.min(past, now - answeredAt), refutedAt < 0 ? past : Math.min(past, now - refutedAt),
                 told.condition(), dueAt - now));
         tellers.forEach((who, at) -> {
             if (now - at <= far) {
