--- a/membership/src/main/java/tamarindroute/membership/Entry.java
+++ b/membership/src/main/java/tamarindroute/membership/Entry.java
@@ -14,6 +14,8 @@
     long since;
     /** Who told that it does not answer, in this incarnation; null but for a suspect. */
     List<Address> reporters;
+    /** Who told by its own word that it holds this suspect to be away already; null for none. */
+    List<Address> tellers;
     /** Its place among those probed in turn; -1 where it is not. */
     int place = -1;
 
@@ -32,6 +34,7 @@
         incarnation = other.incarnation;
         since = other.since;
         reporters = other.reporters == null ? null : new ArrayList<>(other.reporters);
+        tellers = other.tellers == null ? null : new ArrayList<>(other.tellers);
         place = other.place;
     }
 
@@ -50,6 +53,6 @@
 
     List<Object> key(long now) {
         return List.of(member, standing, incarnation, standing == Standing.SUSPECT ? now - since : 0,
-                reporters == null ? List.of() : reporters, place);
+                reporters == null ? List.of() : reporters, tellers == null ? List.of() : tellers, place);
     }
 }
--- a/membership/src/main/java/tamarindroute/membership/Roll.java
+++ b/membership/src/main/java/tamarindroute/membership/Roll.java
@@ -82,6 +82,7 @@
         leaveLists(entry);
         entry.standing = standing;
         entry.since = now;
+        entry.tellers = null;
         entry.reporters = standing == Standing.SUSPECT ? new ArrayList<>(2) : null;
         enterLists(entry, draws);
     }
--- a/membership/src/main/java/tamarindroute/membership/Suspicion.java
+++ b/membership/src/main/java/tamarindroute/membership/Suspicion.java
@@ -57,6 +57,26 @@
         return Math.min(own.settings.high(), Math.max(2, able / 2 + 1));
     }
 
+    /**
+     * Another holds this suspect to be away already. As many of these as make a cut are one: each of them has waited, and
+     * whoever was stopped or comes late need not wait again. One's own report counts with them.
+     */
+    void heldAwayBy(Entry entry, Address teller) {
+        if (entry.standing != Standing.SUSPECT || !watch.at(own.now).inTouch()) {
+            return;
+        }
+        if (entry.tellers == null) {
+            entry.tellers = new ArrayList<>(2);
+        }
+        if (!entry.tellers.contains(teller) && entry.tellers.size() < MOST_REPORTERS) {
+            entry.tellers.add(teller);
+        }
+        int count = entry.tellers.size() + (entry.reporters.contains(own.self.address()) ? 1 : 0);
+        if (count >= required()) {
+            cut(entry);
+        }
+    }
+
     /** Cuts all that are ripe at once, if none is about to be. */
     void due() {
         if (!watch.at(own.now).inTouch()) {
@@ -116,6 +136,7 @@
     void restart() {
         for (Entry entry : own.roll.suspects()) {
             entry.since = own.now;
+            entry.tellers = null;
         }
     }
 
--- a/membership/src/main/java/tamarindroute/membership/Words.java
+++ b/membership/src/main/java/tamarindroute/membership/Words.java
@@ -201,6 +201,9 @@
             suspicion.cut(entry);
         } else if (!own.isSelf(rumour.observer())) {
             suspicion.report(entry, rumour.observer());
+            if (rumour.standing() == Standing.AWAY && rumour.observer().equals(from.address())) {
+                suspicion.heldAwayBy(entry, from.address());
+            }
         }
     }
 
