--- a/agreement/src/main/java/tamarindroute/agreement/store/RecordLog.java
+++ b/agreement/src/main/java/tamarindroute/agreement/store/RecordLog.java
@@ -34,6 +34,7 @@
 
     private final Medium medium;
     private long size;
+    private boolean failed;
 
     public RecordLog(Medium medium) {
         this.medium = medium;
@@ -119,13 +120,32 @@
     /** Written, not yet kept. */
     public void append(byte[] body) throws IOException {
         byte[] record = framed(body);
-        medium.append(record);
+        write(() -> medium.append(record));
         size += record.length;
     }
 
     /** All that was appended is kept from here on. */
     public void force() throws IOException {
-        medium.force();
+        write(medium::force);
+    }
+
+    /** Whether anything could not be written: what is on the disk is no longer known, and no word may be given. */
+    public boolean failed() {
+        return failed;
+    }
+
+    @FunctionalInterface
+    private interface Write {
+        void run() throws IOException;
+    }
+
+    private void write(Write what) throws IOException {
+        if (failed) {
+            throw new IOException("could not be written before");
+        }
+        failed = true;
+        what.run();
+        failed = false;
     }
 
     public long size() {
@@ -138,7 +158,7 @@
         for (byte[] body : bodies) {
             all.writeBytes(framed(body));
         }
-        medium.replace(all.toByteArray());
+        write(() -> medium.replace(all.toByteArray()));
         size = all.size();
     }
 
