--- a/agreement/src/main/java/tamarindroute/agreement/View.java
+++ b/agreement/src/main/java/tamarindroute/agreement/View.java
@@ -31,4 +31,10 @@
     public boolean has(Member member) {
         return members.contains(member);
     }
+
+    @Override
+    public String toString() {
+        return "view " + number + " of " + members.size() + " members, voters " + voters + ", " + entries.size()
+                + " entries";
+    }
 }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Messages.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Messages.java
@@ -18,7 +18,11 @@
 /** The library's messages between voters, to words and back. */
 final class Messages {
 
-    /** Entries in one message; with the longest command it stays below the longest message. */
+    /**
+     * Entries in one message; with the longest command it stays below the longest message. The library sends one more
+     * than it is told to: told this number, its messages to a voter that had missed a few were dropped, and it never
+     * caught up.
+     */
     static final int ENTRIES_MOST = 4;
 
     private Messages() { }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -134,7 +134,7 @@
     private static RaftConfig config() {
         return RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECONDS)
                 .setLeaderHeartbeatTimeoutSecs(LOST_SECONDS).setLeaderElectionTimeoutMillis(ELECTION_MILLIS)
-                .setAppendEntriesRequestBatchSize(Messages.ENTRIES_MOST).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
+                .setAppendEntriesRequestBatchSize(Messages.ENTRIES_MOST - 1).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
                 .setMaxPendingLogEntryCount(PENDING_MOST).setTransferSnapshotsFromFollowersEnabled(false)
                 .setRaftNodeReportPublishPeriodSecs(HEARTBEAT_SECONDS).build();
     }
