--- a/agreement/src/main/java/tamarindroute/agreement/Command.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Command.java
@@ -18,7 +18,7 @@
         }
     }
 
-    /** Sets an entry that was last changed at this number; 0 where there is none. */
+    /** Sets an entry; derived from {@link View#from}: what last changed it, or a view that has none. */
     record Put(String key, long from, String type, byte[] value) implements Command {
         public Put {
             value = value.clone();
--- a/agreement/src/main/java/tamarindroute/agreement/Leased.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Leased.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import tamarindroute.membership.Address;
+import tamarindroute.membership.Member;
 
 /**
  * Owns what a member without a vote holds of the view, and until when by its own monotonic clock. The leader reads the
@@ -19,9 +20,10 @@
  * @param open whether an answer to it is still waited for
  * @param whom the voter of the list that is asked next, counted up
  * @param hint the leader's address as last told
+ * @param moved whether the last answer only told whom else to ask
  */
 public record Leased(Optional<View> view, Duration until, long number, Duration asked, boolean open, long whom,
-                     Optional<Address> hint) {
+                     Optional<Address> hint, boolean moved) {
 
     /** A holder gives up this part of its lease for clocks that do not run alike. */
     private static final long DRIFT = 100;
@@ -30,9 +32,17 @@
     /** Longest lease that is believed; more would only let a lost member act on what has long been replaced. */
     public static final Duration LEASE_MOST = Duration.ofMinutes(1);
 
-    /** Nothing held yet. */
-    public static Leased none() {
-        return new Leased(Optional.empty(), Duration.ZERO, 0, Duration.ZERO, false, 0, Optional.empty());
+    /** Sent on to another, it asks that one so many times sooner. */
+    private static final int SOONER = 10;
+    private static final Duration NEVER = Duration.ofDays(-1);
+
+    /**
+     * Nothing held yet. Askings are numbered from the birth on: an answer to a former life's asking would be counted
+     * from a later asking than it was read for.
+     */
+    public static Leased none(Member self) {
+        long first = self.birth() * 1_000_003L;
+        return new Leased(Optional.empty(), Duration.ZERO, first, NEVER, false, 0, Optional.empty(), false);
     }
 
     /** What may be acted on now; empty: out of touch. */
@@ -42,7 +52,8 @@
 
     /** Whether to ask now: so often within a lease, sooner when a voter has sent on to another. */
     public boolean due(Duration now, Duration lease) {
-        return number == 0 || now.compareTo(asked.plus(lease.dividedBy(ASKINGS))) >= 0;
+        Duration between = lease.dividedBy(moved ? ASKINGS * SOONER : ASKINGS);
+        return asked.equals(NEVER) || now.compareTo(asked.plus(between)) >= 0;
     }
 
     /** Whom to ask: the leader as told, else one voter after the other. */
@@ -54,7 +65,7 @@
     public Leased asked(Duration now) {
         boolean unanswered = open;
         return new Leased(view, until, number + 1, now, true, unanswered ? whom + 1 : whom,
-                unanswered ? Optional.empty() : hint);
+                unanswered ? Optional.empty() : hint, false);
     }
 
     /**
@@ -66,16 +77,17 @@
             return this;
         }
         if (!answer.led()) {
-            return new Leased(view, until, number, asked, false, whom + 1, answer.leader().map(one -> one.address()));
+            return new Leased(view, until, number, asked, false, whom + 1, answer.leader().map(Member::address),
+                    answer.leader().isPresent());
         }
         Optional<View> next = answer.whole().isPresent() ? answer.whole() : replayed(answer);
         boolean believed = next.isPresent() && next.get().group() == answer.group() && !back(next.get())
                 && !answer.lease().isNegative() && answer.lease().compareTo(LEASE_MOST) <= 0;
         if (!believed) {
-            return new Leased(Optional.empty(), Duration.ZERO, number, asked, false, whom, hint);
+            return new Leased(Optional.empty(), Duration.ZERO, number, asked, false, whom, hint, true);
         }
         Duration end = asked.plus(answer.lease()).minus(answer.lease().dividedBy(DRIFT));
-        return new Leased(next, end, number, asked, false, whom, hint);
+        return new Leased(next, end, number, asked, false, whom, hint, false);
     }
 
     private boolean back(View next) {
--- a/agreement/src/main/java/tamarindroute/agreement/Ledger.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Ledger.java
@@ -108,8 +108,10 @@
 
     private static Step put(View view, Command.Put put) {
         Entry held = view.entries().get(put.key());
-        if (put.from() != changed(held)) {
-            return Step.refused(view, put.key() + " derived from " + put.from() + ", it is of " + changed(held));
+        boolean derived = held != null ? put.from() == held.changed()
+                : put.from() >= view.removed() && put.from() <= view.number();
+        if (!derived) {
+            return Step.refused(view, put.key() + " derived from " + put.from() + ", it is of " + view.from(put.key()));
         }
         Map<String, Entry> entries = new TreeMap<>(view.entries());
         entries.put(put.key(), new Entry(put.type(), put.value(), view.number() + 1));
@@ -125,11 +127,14 @@
     private static Step remove(View view, Command.Remove remove) {
         Entry held = view.entries().get(remove.key());
         if (held == null || remove.from() != held.changed()) {
-            return Step.refused(view, remove.key() + " derived from " + remove.from() + ", it is of " + changed(held));
+            return Step.refused(view,
+                    remove.key() + " derived from " + remove.from() + ", it is of " + view.from(remove.key()));
         }
         Map<String, Entry> entries = new TreeMap<>(view.entries());
         entries.remove(remove.key());
-        return next(view, view.members(), view.voters(), entries);
+        View next = next(view, view.members(), view.voters(), entries).view();
+        return new Step(new View(next.group(), next.number(), next.number(), next.members(), next.voters(),
+                next.entries()), Optional.empty());
     }
 
     private static Step voters(View view, Command.Voters voters) {
@@ -139,11 +144,8 @@
         return next(view, view.members(), voters.voters(), view.entries());
     }
 
-    private static long changed(Entry entry) {
-        return entry == null ? 0 : entry.changed();
-    }
-
     private static Step next(View view, List<Member> members, List<Member> voters, Map<String, Entry> entries) {
-        return new Step(new View(view.group(), view.number() + 1, members, voters, entries), Optional.empty());
+        return new Step(new View(view.group(), view.number() + 1, view.removed(), members, voters, entries),
+                Optional.empty());
     }
 }
--- a/agreement/src/main/java/tamarindroute/agreement/View.java
+++ b/agreement/src/main/java/tamarindroute/agreement/View.java
@@ -11,11 +11,14 @@
  * What is agreed, numbered: each command that changes it raises the number by one. Immutable.
  *
  * @param group of the voters' founding; views of two groups are never compared
+ * @param removed the number at which an entry was last taken out; one that is put where none was must be derived from
+ *     this view or a later one, or a late double of an old proposal would bring back what was taken out
  * @param members who is in, in order
  * @param voters who votes, as last told by the group itself
  * @param entries of the subsystems, by key
  */
-public record View(long group, long number, List<Member> members, List<Member> voters, Map<String, Entry> entries) {
+public record View(long group, long number, long removed, List<Member> members, List<Member> voters,
+                   Map<String, Entry> entries) {
 
     public View {
         members = List.copyOf(members);
@@ -25,7 +28,13 @@
 
     /** Before anything was agreed. */
     public static View first(long group) {
-        return new View(group, 0, List.of(), List.of(), Map.of());
+        return new View(group, 0, 0, List.of(), List.of(), Map.of());
+    }
+
+    /** What a command that puts or removes this entry has to be derived from. */
+    public long from(String key) {
+        Entry held = entries.get(key);
+        return held == null ? number : held.changed();
     }
 
     public boolean has(Member member) {
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Kept.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Kept.java
@@ -19,11 +19,14 @@
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
 
+import tamarindroute.agreement.Ledger;
 import tamarindroute.agreement.proto.WGroup;
 import tamarindroute.agreement.proto.WKept;
+import tamarindroute.agreement.proto.WOffer;
 import tamarindroute.agreement.proto.WTerm;
 import tamarindroute.agreement.store.Medium;
 import tamarindroute.agreement.store.RecordLog;
+import tamarindroute.agreement.wire.Words;
 import tamarindroute.membership.Member;
 
 /** Owns what a voter keeps: who it is, whom it gave its vote, the log, the last snapshot; as records, and in memory. */
@@ -34,6 +37,7 @@
 
     private final RecordLog log;
     private long group;
+    private WOffer pledge = WOffer.getDefaultInstance();
     private WKept self;
     private WGroup initial;
     private WTerm term = WTerm.getDefaultInstance();
@@ -63,6 +67,7 @@
             throw new IOException("a record of another form", unknown);
         }
         switch (words.getWhatCase()) {
+            case PLEDGE -> pledge = words.getPledge();
             case GROUP -> group = words.getGroup();
             case SELF -> self = words;
             case INITIAL -> initial = words.getInitial();
@@ -82,7 +87,25 @@
 
     /** Who wrote it; empty if it is new. */
     Optional<Member> self() {
-        return whole() ? Optional.of(Wire.from(self.getSelf()).member()) : Optional.empty();
+        return runs() ? Optional.of(Wire.from(self.getSelf()).member()) : Optional.empty();
+    }
+
+    /** Who it is since its store was made, and whom it is bound to found with, if anyone. */
+    Optional<Member> pledged() {
+        return pledge.hasSelf() ? Optional.of(Words.from(pledge.getSelf())) : Optional.empty();
+    }
+
+    List<Member> bound() {
+        return Words.from(pledge.getBoundList(), Ledger.VOTERS_MOST);
+    }
+
+    /** Kept before it is told to anyone. */
+    void pledge(Member who, List<Member> bound) throws IOException {
+        WOffer.Builder words = WOffer.newBuilder().setSelf(Words.to(who));
+        bound.forEach(one -> words.addBound(Words.to(one)));
+        pledge = words.build();
+        append(WKept.newBuilder().setPledge(pledge));
+        log.force();
     }
 
     long group() {
@@ -90,7 +113,7 @@
     }
 
     /** A start that was cut off before all three were kept never gave a word. */
-    private boolean whole() {
+    boolean runs() {
         return group != 0 && self != null && initial != null;
     }
 
@@ -209,6 +232,9 @@
     private void rewrite() throws IOException {
         List<byte[]> records = new ArrayList<>();
         records.add(WKept.newBuilder().setGroup(group).build().toByteArray());
+        if (pledge.hasSelf()) {
+            records.add(WKept.newBuilder().setPledge(pledge).build().toByteArray());
+        }
         if (self != null) {
             records.add(self.toByteArray());
         }
@@ -233,4 +259,13 @@
     void close() throws IOException {
         log.close();
     }
+
+    /** Whatever counted was forced when it was written; a failure to close loses nothing. */
+    void closeQuietly() {
+        try {
+            close();
+        } catch (IOException nothingLost) {
+            return;
+        }
+    }
 }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -36,17 +36,13 @@
 import tamarindroute.agreement.Ledger;
 import tamarindroute.agreement.View;
 import tamarindroute.agreement.proto.WEnvelope;
-import tamarindroute.agreement.store.Medium;
 import tamarindroute.agreement.wire.Heard;
 import tamarindroute.agreement.wire.Words;
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
 
-/**
- * A voter over MicroRaft. All of it runs on the owner's thread. Who it is stands in its store; with an empty store it
- * is a new voter by a birth that was never used, and has no vote until the others have taken it in.
- */
-public final class RaftAgreement implements Agreement {
+/** A voter of a group that was founded, over MicroRaft; all on the owner's thread. */
+final class RaftAgreement implements Agreement {
 
     /** The library counts in whole seconds; a leader speaks each second, */
     private static final int HEARTBEAT_SECONDS = 1;
@@ -76,35 +72,9 @@
     private boolean closed;
     private boolean telling;
 
-    /**
-     * Opens the store and starts.
-     *
-     * @param fresh who this is if the store is empty: a birth that was never used at this address
-     * @param founders all voters the group began with, told alike to everyone, for good
-     * @param changed told what this voter knows of its group, when it changes
-     * @throws IOException the store is damaged, of another group, or can't be written
-     */
-    public static RaftAgreement open(Owner owner, Post post, Medium medium, Member fresh, List<Member> founders,
-                                     Consumer<State> changed) throws IOException {
-        return open(owner, post, medium, fresh, founders, changed, QueryPolicy.LINEARIZABLE);
-    }
-
-    /** A test hands in another way of reading, to see that its checker finds it. */
-    static RaftAgreement open(Owner owner, Post post, Medium medium, Member fresh, List<Member> founders,
-                              Consumer<State> changed, QueryPolicy reading) throws IOException {
-        long group = group(founders);
-        Kept kept = Kept.open(medium);
-        if (kept.self().isPresent() && kept.group() != group) {
-            throw new IOException("the store is of another group than that of " + founders);
-        }
-        if (kept.self().isPresent() && !kept.self().get().address().equals(fresh.address())) {
-            throw new IOException("the store is " + kept.self().get() + "'s, not of " + fresh.address());
-        }
-        return new RaftAgreement(owner, post, kept, fresh, founders, changed, reading);
-    }
-
-    private RaftAgreement(Owner owner, Post post, Kept kept, Member fresh, List<Member> founders,
-                          Consumer<State> changed, QueryPolicy reading) throws IOException {
+    /** Goes on where the store ends, or begins with these founders. */
+    RaftAgreement(Owner owner, Post post, Kept kept, Member fresh, List<Member> founders, Consumer<State> changed,
+                  QueryPolicy reading) throws IOException {
         this.owner = owner;
         this.post = post;
         this.kept = kept;
@@ -117,7 +87,7 @@
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(group).setConfig(config())
                 .setTransport(new Way()).setExecutor(new Run()).setStateMachine(machine).setStore(kept)
                 .setClock(new Monotonic()).setRandom(new Chance(self.hashCode())).setModelFactory(Wire.MODELS);
-        if (kept.self().isPresent()) {
+        if (kept.runs()) {
             builder.setRestoredState(kept.restored());
         } else {
             kept.begin(group);
@@ -153,11 +123,10 @@
     }
 
     /** A message has come; this address is that of whoever sealed it. What is not for this life is dropped. */
-    public void received(Address from, byte[] message) {
+    void received(Address from, Heard heard) {
         if (closed) {
             return;
         }
-        Heard heard = Heard.of(message).orElse(null);
         if (heard instanceof Heard.OfLibrary it) {
             received(from, it);
         } else if (heard instanceof Heard.Ask ask) {
@@ -289,10 +258,10 @@
         if (closed) {
             return;
         }
-        if (kept.failed()) {
-            close();
-            state = new State(false, Optional.empty(), 0, state.voters(), false,
+        if (ended()) {
+            state = new State(false, Optional.empty(), 0, voters(node.getCommittedMembers()), false,
                     state.noMajoritySince().or(() -> Optional.of(owner.now())));
+            close();
             changed.accept(state);
             return;
         }
@@ -304,6 +273,11 @@
         });
     }
 
+    /** Put out of the group, or its store can't be written: it votes and answers no more. */
+    boolean ended() {
+        return closed || kept.failed() || node.getStatus() == RaftNodeStatus.TERMINATED;
+    }
+
     private void told(RaftNodeReport report) {
         boolean leads = report.getRole() == RaftRole.LEADER && report.getStatus() != RaftNodeStatus.TERMINATED;
         long oldest = owner.now().toMillis() + Monotonic.START - TimeUnit.SECONDS.toMillis(LOST_SECONDS);
@@ -344,12 +318,7 @@
     @Override
     public void close() {
         closed = true;
-        try {
-            kept.close();
-        } catch (IOException alreadyForced) {
-            // Whatever counted was forced when it was written.
-            return;
-        }
+        kept.closeQuietly();
     }
 
     /** The library's way out: each message in an envelope for one life of one voter. */
--- a/agreement/src/main/java/tamarindroute/agreement/wire/Heard.java
+++ b/agreement/src/main/java/tamarindroute/agreement/wire/Heard.java
@@ -1,5 +1,6 @@
 package tamarindroute.agreement.wire;
 
+import java.util.List;
 import java.util.Optional;
 
 import tamarindroute.agreement.Agreement;
@@ -26,6 +27,9 @@
     /** For whoever proposed. */
     record Proposed(long number, Agreement.Outcome outcome) implements Heard { }
 
+    /** For a voter, from another that is told: of the group's founding. */
+    record Offered(Member self, List<Member> bound, boolean founded) implements Heard { }
+
     /** What there is in a message; empty if it is none or past its bounds. */
     static Optional<Heard> of(byte[] message) {
         return Words.heard(message);
--- a/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
+++ b/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
@@ -23,6 +23,7 @@
 import tamarindroute.agreement.proto.WEntry;
 import tamarindroute.agreement.proto.WEnvelope;
 import tamarindroute.agreement.proto.WMember;
+import tamarindroute.agreement.proto.WOffer;
 import tamarindroute.agreement.proto.WOutcome;
 import tamarindroute.agreement.proto.WProposal;
 import tamarindroute.agreement.proto.WView;
@@ -65,6 +66,13 @@
                 .build().toByteArray();
     }
 
+    /** What a voter says of its group's founding: who it is, which founders it is bound to, whether the group runs. */
+    public static byte[] offer(Member self, List<Member> bound, boolean founded) {
+        WOffer.Builder words = WOffer.newBuilder().setSelf(to(self)).setFounded(founded);
+        bound.forEach(one -> words.addBound(to(one)));
+        return WEnvelope.newBuilder().setOffer(words).build().toByteArray();
+    }
+
     public static byte[] answer(Answer answer) {
         WAnswer.Builder words = WAnswer.newBuilder().setNumber(answer.number()).setLed(answer.led())
                 .setLeaseMillis(answer.lease().toMillis()).setGroup(answer.group());
@@ -102,6 +110,8 @@
             case PROPOSAL -> new Heard.Proposal(words.getProposal().getNumber(),
                     from(words.getProposal().getCommand()));
             case OUTCOME -> new Heard.Proposed(words.getOutcome().getNumber(), from(words.getOutcome()));
+            case OFFER -> new Heard.Offered(from(words.getOffer().getSelf()),
+                    from(words.getOffer().getBoundList(), Ledger.VOTERS_MOST), words.getOffer().getFounded());
             case WHAT_NOT_SET -> throw new Unbelievable("nothing said");
         };
     }
@@ -187,7 +197,8 @@
     }
 
     public static WView to(View view) {
-        WView.Builder words = WView.newBuilder().setGroup(view.group()).setNumber(view.number());
+        WView.Builder words = WView.newBuilder().setGroup(view.group()).setNumber(view.number())
+                .setRemoved(view.removed());
         view.members().forEach(one -> words.addMembers(to(one)));
         view.voters().forEach(one -> words.addVoters(to(one)));
         view.entries().forEach((key, entry) -> words.addEntries(WEntry.newBuilder().setKey(key).setType(entry.type())
@@ -209,8 +220,8 @@
         if (bytes > Ledger.VALUES_MOST || words.getNumber() < 0) {
             throw new Unbelievable("view");
         }
-        return new View(words.getGroup(), words.getNumber(), from(words.getMembersList(), Ledger.MEMBERS_MOST),
-                from(words.getVotersList(), Ledger.VOTERS_MOST), entries);
+        return new View(words.getGroup(), words.getNumber(), words.getRemoved(),
+                from(words.getMembersList(), Ledger.MEMBERS_MOST), from(words.getVotersList(), Ledger.VOTERS_MOST), entries);
     }
 
     private static void most(int count, int most) {
