--- a/agreement/src/main/java/tamarindroute/agreement/Ledger.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Ledger.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -113,7 +113,7 @@
         if (!derived) {
             return Step.refused(view, put.key() + " derived from " + put.from() + ", it is of " + view.from(put.key()));
         }
-        Map<String, Entry> entries = new TreeMap<>(view.entries());
+        SortedMap<String, Entry> entries = new TreeMap<>(view.entries());
         entries.put(put.key(), new Entry(put.type(), put.value(), view.number() + 1));
         if (entries.size() > ENTRIES_MOST) {
             return Step.refused(view, "more than " + ENTRIES_MOST + " entries");
@@ -130,7 +130,7 @@
             return Step.refused(view,
                     remove.key() + " derived from " + remove.from() + ", it is of " + view.from(remove.key()));
         }
-        Map<String, Entry> entries = new TreeMap<>(view.entries());
+        SortedMap<String, Entry> entries = new TreeMap<>(view.entries());
         entries.remove(remove.key());
         View next = next(view, view.members(), view.voters(), entries).view();
         return new Step(new View(next.group(), next.number(), next.number(), next.members(), next.voters(),
@@ -144,7 +144,8 @@
         return next(view, view.members(), voters.voters(), view.entries());
     }
 
-    private static Step next(View view, List<Member> members, List<Member> voters, Map<String, Entry> entries) {
+    private static Step next(View view, List<Member> members, List<Member> voters,
+                             SortedMap<String, Entry> entries) {
         return new Step(new View(view.group(), view.number() + 1, view.removed(), members, voters, entries),
                 Optional.empty());
     }
--- a/agreement/src/main/java/tamarindroute/agreement/View.java
+++ b/agreement/src/main/java/tamarindroute/agreement/View.java
@@ -2,7 +2,7 @@
 
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 import tamarindroute.membership.Member;
@@ -18,17 +18,17 @@
  * @param entries of the subsystems, by key
  */
 public record View(long group, long number, long removed, List<Member> members, List<Member> voters,
-                   Map<String, Entry> entries) {
+                   SortedMap<String, Entry> entries) {
 
     public View {
         members = List.copyOf(members);
         voters = List.copyOf(voters);
-        entries = Collections.unmodifiableMap(new TreeMap<>(entries));
+        entries = Collections.unmodifiableSortedMap(new TreeMap<>(entries));
     }
 
     /** Before anything was agreed. */
     public static View first(long group) {
-        return new View(group, 0, 0, List.of(), List.of(), Map.of());
+        return new View(group, 0, 0, List.of(), List.of(), new TreeMap<>());
     }
 
     /** What a command that puts or removes this entry has to be derived from. */
--- a/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
+++ b/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
@@ -208,7 +208,7 @@
 
     public static View from(WView words) {
         most(words.getEntriesCount(), Ledger.ENTRIES_MOST);
-        Map<String, Entry> entries = new TreeMap<>();
+        SortedMap<String, Entry> entries = new TreeMap<>();
         long bytes = 0;
         for (WEntry one : words.getEntriesList()) {
             most(one.getKey().length(), Ledger.NAME_MOST);
