--- a/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
@@ -21,6 +21,7 @@
 import tamarindroute.agreement.Command;
 import tamarindroute.agreement.View;
 import tamarindroute.agreement.store.Memory;
+import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
 
 class ClusterTest {
@@ -196,6 +197,28 @@
         assertThat(world.breaches).isEmpty();
     }
 
+    /** It runs outside the group, which has not yet taken it in; what was meant for its former self it does not answer. */
+    @Test
+    void whatIsMeantForAFormerSelfIsNotAnswered() {
+        World world = new World(12, 3);
+        settle(world, put(0, 1));
+        int leader = index(world, world.awaitLeader());
+        int lost = (leader + 1) % 3;
+        Address address = World.address(lost);
+        byte[] former = world.lastTo.get(address);
+        world.node(lost).kill();
+        world.node(lost).disk = new Memory();
+        world.cut(lost, leader, true);
+        world.node(lost).start(500);
+        world.run(Duration.ofSeconds(3));
+        assertThat(world.node(lost).voter.state().voters()).as("runs outside").isEqualTo(world.founders);
+        world.lastFrom.remove(address);
+        world.node(lost).voter.received(World.address(leader), former);
+        world.run(Duration.ofSeconds(1));
+        assertThat(world.lastFrom).doesNotContainKey(address);
+        assertThat(world.node(lost).voter.state().leader()).isEmpty();
+    }
+
     /** The birth is told again by mistake: a group that runs with that life in it never lets it speak for itself. */
     @Test
     void aVoterThatForgotAndKeptItsNameStaysOut() {
--- a/agreement/src/test/java/tamarindroute/agreement/raft/World.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/World.java
@@ -40,8 +40,10 @@
     final TreeMap<Long, Long> agreed = new TreeMap<>();
     final Map<List<Object>, Member> votes = new HashMap<>();
     int loss;
+    /** The library's last message to and from each. */
+    final Map<Address, byte[]> lastTo = new HashMap<>();
+    final Map<Address, byte[]> lastFrom = new HashMap<>();
     int acts;
-    int restarts;
     int refusedActs;
     private final QueryPolicy reading;
     long micros;
@@ -112,7 +114,7 @@
     }
 
     private void send(Address from, Address to, byte[] message) {
-        watch(from, message);
+        watch(from, to, message);
         Node target = nodes.get(to);
         if (target == null || cuts.contains(List.of(from, to)) || chance(100) < loss) {
             return;
@@ -125,8 +127,13 @@
     }
 
     /** A voter gives its vote to one candidate a term, whatever it forgot. */
-    private void watch(Address from, byte[] message) {
-        if (Heard.of(message).orElse(null) instanceof Heard.OfLibrary it && it.message().getFlag()
+    private void watch(Address from, Address to, byte[] message) {
+        Heard heard = Heard.of(message).orElse(null);
+        if (heard instanceof Heard.OfLibrary) {
+            lastTo.put(to, message);
+            lastFrom.put(from, message);
+        }
+        if (heard instanceof Heard.OfLibrary it && it.message().getFlag()
                 && it.message().getKind() == WRaft.Kind.VOTE_RESPONSE) {
             Member voter = Words.from(it.message().getSender());
             Member before = votes.putIfAbsent(List.of(voter, it.message().getTerm()), it.to());
@@ -211,7 +218,6 @@
 
         void start(long birth) {
             life++;
-            restarts++;
             try {
                 voter = new Voter(this, (to, message) -> World.this.send(address, to, message), disk,
                         new Member(address, birth), told(), told::add, reading);
