--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -1,11 +1,7 @@
 package tamarindroute.agreement.raft;
 
 import java.io.IOException;
-import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -25,7 +21,6 @@
 import io.microraft.RaftRole;
 import io.microraft.exception.CannotReplicateException;
 import io.microraft.exception.NotLeaderException;
-import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.report.RaftGroupMembers;
 import io.microraft.report.RaftNodeReport;
@@ -64,13 +59,14 @@
     private final Member self;
     private final long group;
     private final Machine machine;
-    private final RaftNode node;
+    private RaftNode node;
     private final Desk desk;
     private final Consumer<State> changed;
     private final QueryPolicy reading;
     private State state;
     private boolean closed;
     private boolean telling;
+    private Optional<String> failure = Optional.empty();
 
     /** Goes on where the store ends, or begins with these founders. */
     RaftAgreement(Owner owner, Post post, Kept kept, Member fresh, List<Member> founders, Consumer<State> changed,
@@ -85,8 +81,8 @@
         this.self = kept.self().orElse(fresh);
         this.state = new State(false, Optional.empty(), 0, List.of(), false, Optional.of(owner.now()));
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(group).setConfig(config())
-                .setTransport(new Way()).setExecutor(new Run()).setStateMachine(machine).setStore(kept)
-                .setClock(new Monotonic()).setRandom(new Chance(self.hashCode())).setModelFactory(Wire.MODELS);
+                .setTransport(new Way()).setExecutor(new OwnerExecutor(owner, () -> !ended(), this::broken)).setStateMachine(machine).setStore(kept)
+                .setClock(new OwnerClock(owner)).setRandom(new Chance(self.hashCode())).setModelFactory(Wire.MODELS);
         if (kept.runs()) {
             builder.setRestoredState(kept.restored());
         } else {
@@ -273,14 +269,25 @@
         });
     }
 
-    /** Put out of the group, or its store can't be written: it votes and answers no more. */
+    /** Put out of the group, its store can't be written, or the library failed: it votes and answers no more. */
     boolean ended() {
-        return closed || kept.failed() || node.getStatus() == RaftNodeStatus.TERMINATED;
+        return closed || failure.isPresent() || kept.failed()
+                || node != null && node.getStatus() == RaftNodeStatus.TERMINATED;
+    }
+
+    /** Nothing is known of what a step that failed has left behind, so none comes after it. */
+    private void broken(RuntimeException thrown) {
+        failure = Optional.of(thrown.toString());
+    }
+
+    /** Why it ended, if by itself. */
+    Optional<String> failure() {
+        return kept.failed() ? Optional.of("the store can't be written") : failure;
     }
 
     private void told(RaftNodeReport report) {
         boolean leads = report.getRole() == RaftRole.LEADER && report.getStatus() != RaftNodeStatus.TERMINATED;
-        long oldest = owner.now().toMillis() + Monotonic.START - TimeUnit.SECONDS.toMillis(LOST_SECONDS);
+        long oldest = owner.now().toMillis() + OwnerClock.START - TimeUnit.SECONDS.toMillis(LOST_SECONDS);
         int reached = 1;
         for (RaftEndpoint voter : report.getEffectiveMembers().getVotingMembers()) {
             if (!voter.getId().equals(self) && report.getHeartbeatTimestamps().getOrDefault(voter, 0L) >= oldest) {
@@ -325,7 +332,7 @@
     private final class Way implements Transport {
         @Override
         public void send(RaftEndpoint to, RaftMessage message) {
-            if (!closed && !kept.failed()) {
+            if (!ended()) {
                 Member member = Seat.of(to);
                 post.send(member.address(), WEnvelope.newBuilder().setGroup(group).setTo(Words.to(member))
                         .setRaft(Messages.to(message)).build().toByteArray());
@@ -337,56 +344,4 @@
             return true;
         }
     }
-
-    /** The library's tasks, on the owner's thread. */
-    private final class Run implements RaftNodeExecutor {
-        @Override
-        public void execute(Runnable task) {
-            owner.execute(unlessClosed(task));
-        }
-
-        @Override
-        public void submit(Runnable task) {
-            owner.execute(unlessClosed(task));
-        }
-
-        @Override
-        public void schedule(Runnable task, long delay, TimeUnit unit) {
-            owner.schedule(unlessClosed(task), Duration.ofNanos(unit.toNanos(delay)));
-        }
-
-        private Runnable unlessClosed(Runnable task) {
-            return () -> {
-                if (!closed && !kept.failed()) {
-                    task.run();
-                }
-            };
-        }
-    }
-
-    /** The owner's time in the form the library asks for; it compares its times to each other only. */
-    private final class Monotonic extends Clock {
-        /** The library takes 0 for never. */
-        private static final long START = 1_000_000L;
-
-        @Override
-        public ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(ZoneId zone) {
-            return this;
-        }
-
-        @Override
-        public Instant instant() {
-            return Instant.ofEpochMilli(millis());
-        }
-
-        @Override
-        public long millis() {
-            return START + owner.now().toMillis();
-        }
-    }
 }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
@@ -40,6 +40,7 @@
     private RaftAgreement running;
     private boolean replacing;
     private boolean closed;
+    private Optional<String> unfounded = Optional.empty();
 
     /**
      * Opens the store and starts.
@@ -135,6 +136,7 @@
                 run();
             }
         } catch (IOException unwritten) {
+            unfounded = Optional.of(unwritten.toString());
             close();
             changed.accept(state());
         }
@@ -156,6 +158,11 @@
         running.change(former.orElse(anew), former.isEmpty(), done -> replacing = false);
     }
 
+    /** Why it stopped by itself, for operators: the store can't be written, or the library failed. */
+    public Optional<String> failure() {
+        return running == null ? unfounded : running.failure();
+    }
+
     @Override
     public Member self() {
         return founding.self();
--- a/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
@@ -345,6 +345,24 @@
         assertThat(away.voter.view()).isEqualTo(leader.voter.view());
     }
 
+    @Test
+    void aVoterWhoseDiskIsFullStopsAndTheOthersGoOn() {
+        World world = new World(13, 3);
+        settle(world, put(0, 1));
+        World.Node leader = world.awaitLeader();
+        long number = leader.voter.view().number();
+        leader.disk.full = true;
+        List<Outcome> outcomes = new ArrayList<>();
+        leader.voter.propose(put(leader.voter.view().from(KEY), 2), outcomes::add);
+        world.run(LONG);
+        assertThat(leader.voter.failure()).contains("the store can't be written");
+        assertThat(leader.told.get(leader.told.size() - 1).noMajoritySince()).isPresent();
+        assertThat(outcomes).extracting(Outcome::fate).containsExactly(Fate.UNKNOWN);
+        assertThat(leader.voter.view().number()).isEqualTo(number);
+        assertThat(settle(world, put(world.awaitLeader().voter.view().from(KEY), 3)).fate()).isEqualTo(Fate.AGREED);
+        assertThat(world.awaitLeader()).isNotSameAs(leader);
+    }
+
     @Test
     void aStoreOfAnotherAddressIsRefused() {
         World world = new World(7, 3);
--- a/agreement/src/test/java/tamarindroute/agreement/raft/World.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/World.java
@@ -159,6 +159,9 @@
         }
         event.task.run();
         if (node.voter != null) {
+            if (node.voter.failure().isPresent() && !node.disk.full) {
+                breaches.add(node.address + " stopped: " + node.voter.failure().get());
+            }
             long number = node.voter.view().number();
             Map.Entry<Long, Long> last = agreed.lastEntry();
             for (long next = last == null ? 1 : last.getKey() + 1; next <= number; next++) {
--- a/agreement/src/test/java/tamarindroute/agreement/store/Memory.java
+++ b/agreement/src/test/java/tamarindroute/agreement/store/Memory.java
@@ -1,6 +1,7 @@
 package tamarindroute.agreement.store;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.Arrays;
 
 /** A disk in memory that loses, at a crash, what was not forced. */
@@ -8,6 +9,8 @@
 
     private final ByteArrayOutputStream written = new ByteArrayOutputStream();
     private int forced;
+    /** Set: nothing more can be written. */
+    public boolean full;
 
     /** After a crash: what was forced, and at most so many bytes more. */
     public Memory crashed(int more) {
@@ -27,7 +30,10 @@
     }
 
     @Override
-    public void force() {
+    public void force() throws IOException {
+        if (full) {
+            throw new IOException("disk full");
+        }
         forced = written.size();
     }
 
--- a/agreement/src/test/java/tamarindroute/agreement/store/RecordLogTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/store/RecordLogTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
@@ -106,20 +105,14 @@
     /** After a failed write nothing more is taken: what is on the disk is not known. */
     @Test
     void afterAFailedWriteNothingIsTaken() throws IOException {
-        List<String> calls = new ArrayList<>();
-        Memory full = new Memory() {
-            @Override
-            public void force() {
-                calls.add("force");
-                throw new IllegalStateException("disk");
-            }
-        };
-        RecordLog log = new RecordLog(full);
+        Memory medium = new Memory();
+        RecordLog log = new RecordLog(medium);
         log.append(body(3));
-        assertThatThrownBy(log::force).isInstanceOf(IllegalStateException.class);
+        medium.full = true;
+        assertThatThrownBy(log::force).hasMessage("disk full");
+        medium.full = false;
         assertThat(log.failed()).isTrue();
         assertThatThrownBy(() -> log.append(body(3))).isInstanceOf(IOException.class);
         assertThatThrownBy(log::force).isInstanceOf(IOException.class);
-        assertThat(calls).hasSize(1);
     }
 }
