--- a/windows/src/test/java/tamarindroute/windows/NaiveChecker.java
+++ b/windows/src/test/java/tamarindroute/windows/NaiveChecker.java
@@ -31,13 +31,19 @@
     static Map<String, Double> breaches(World world, List<World.Held> windows) {
         Map<String, Double> found = new TreeMap<>();
         for (int bin = 0; bin < world.bins(); bin++) {
-            for (Set<String> failed : failures(world)) {
-                Map<String, Double> load = loads(world, windows, bin, failed, found);
-                for (Cache cache : world.caches()) {
-                    double need = load.getOrDefault(cache.name(), 0.0);
-                    if (need > cache.capacity() * 1.000001) {
-                        found.put("room " + cache.name() + " at " + bin + " without " + failed, need);
-                    }
+            found.putAll(breaches(world, windows, bin));
+        }
+        return found;
+    }
+
+    static Map<String, Double> breaches(World world, List<World.Held> windows, int bin) {
+        Map<String, Double> found = new TreeMap<>();
+        for (Set<String> failed : failures(world)) {
+            Map<String, Double> load = loads(world, windows, bin, failed, found);
+            for (Cache cache : world.caches()) {
+                double need = load.getOrDefault(cache.name(), 0.0);
+                if (need > cache.capacity() * 1.000001) {
+                    found.put("room " + cache.name() + " at " + bin + " without " + failed, need);
                 }
             }
         }
