--- a/windows/src/main/java/tamarindroute/windows/Planner.java
+++ b/windows/src/main/java/tamarindroute/windows/Planner.java
@@ -5,7 +5,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.zip.CRC32;
 import tamarindroute.windows.Plan.Batch;
 import tamarindroute.windows.Plan.Lack;
@@ -23,6 +25,9 @@
     /** Caches placed over all orders of all wishes: 1,000 caches are tried in two orders, which stays under a second. */
     static final int PLACED = 2_000;
 
+    /** Caches that may be placed as one where each alone would leave another of them without room; from the third order on. */
+    static final int TOGETHER = 3;
+
     private record Placed(int cache, int start) { }
 
     private record Try(List<Placed> placed, List<Integer> unplaced, Lack lack) {
@@ -132,7 +137,7 @@
         Try best = null;
         Try last = null;
         for (int i = 0; i < tries; i++) {
-            last = attempt(job, order(job.caches, i, last));
+            last = attempt(job, order(job.caches, i, last), i < 2 ? 1 : TOGETHER);
             best = best == null || better(last, best) ? last : best;
             if (best.placed.size() >= job.need && best.end() <= job.first) {
                 break;
@@ -177,17 +182,22 @@
     }
 
     /** Places all that can be placed, keeps the needed ones that end first, and leaves the board as it was. */
-    private Try attempt(Job job, List<Integer> order) {
+    private Try attempt(Job job, List<Integer> order, int together) {
         List<Placed> placed = new ArrayList<>();
         List<Integer> unplaced = new ArrayList<>();
         Map<Integer, byte[]> before = new TreeMap<>();
+        order.forEach(cache -> before.put(cache, column(cache)));
+        Set<Integer> open = new TreeSet<>(order);
         for (int cache : order) {
-            before.put(cache, column(cache));
-            int start = earliest(cache, job);
-            if (start < 0) {
-                unplaced.add(cache);
-            } else {
-                placed.add(new Placed(cache, start));
+            if (open.contains(cache)) {
+                List<Integer> group = new ArrayList<>(List.of(cache));
+                int start = earliest(group, open, together, job);
+                if (start < 0) {
+                    unplaced.add(cache);
+                } else {
+                    group.forEach(c -> placed.add(new Placed(c, start)));
+                    open.removeAll(group);
+                }
             }
         }
         before.forEach(this::restore);
@@ -217,42 +227,71 @@
         }
     }
 
-    /** The first start at which the cache fits, which is then marked on the board; -1 if there is none. */
-    private int earliest(int cache, Job job) {
+    /** The first start at which the group fits, which is then marked on the board; -1 if there is none. */
+    private int earliest(List<Integer> group, Set<Integer> open, int together, Job job) {
         int start = job.first;
         while (start <= job.last) {
-            int refused = refused(cache, start, job);
+            int refused = refused(group, start, open, together, job);
             if (refused < 0) {
                 return start;
             }
-            // A bin that can't spare the cache refuses all starts that reach it.
-            start = refused < start + job.length ? refused + 1 : start + 1;
+            // A bin that can't spare the cache refuses all starts that reach it, unless others may go along.
+            start = refused < start + job.length && together == 1 ? refused + 1 : start + 1;
         }
         return -1;
     }
 
-    private int refused(int cache, int start, Job job) {
-        byte[] before = new byte[job.length + job.warm];
-        for (int i = 0; i < before.length; i++) {
-            int bin = start + i;
-            before[i] = board.get(cache, bin);
-            boolean out = i < job.length;
-            // A cache that is out or cold by an agreed window or by itself can't have its window there too.
-            boolean taken = before[i] != Board.IN;
-            board.set(cache, bin, out ? Board.OUT : Board.COLD);
-            Lack lack = taken ? new Lack(Lacks.TIME, -1, board.world.caches().get(cache).name(), 1, 0,
-                    board.world.time(bin)) : board.lack(cache, bin);
+    /**
+     * The bin that refuses the group, or -1 when it is placed. Whoever lacks room and is itself still to be placed may go
+     * along, as its own load then goes to others: the group grows by it.
+     */
+    private int refused(List<Integer> group, int start, Set<Integer> open, int together, Job job) {
+        byte[][] before = new byte[group.size()][job.length + job.warm];
+        for (int i = 0; i < job.length + job.warm; i++) {
+            Lack lack = set(group, start, i, before, job);
             if (lack != null) {
                 least = least == null || lack.shortage() < least.shortage() ? lack : least;
                 for (int back = i; back >= 0; back--) {
-                    board.set(cache, start + back, before[back]);
+                    for (int g = 0; g < group.size(); g++) {
+                        board.set(group.get(g), start + back, before[g][back]);
+                    }
                 }
-                return bin;
+                return along(group, lack, start, open, together, job) ? -1 : start + i;
             }
         }
         return -1;
     }
 
+    private boolean along(List<Integer> group, Lack lack, int start, Set<Integer> open, int together, Job job) {
+        int full = lack.what() == Lacks.ROOM ? board.places.get(lack.cache()) : -1;
+        if (group.size() >= together || !open.contains(full) || group.contains(full)) {
+            return false;
+        }
+        group.add(full);
+        if (refused(group, start, open, together, job) < 0) {
+            return true;
+        }
+        group.remove((Integer) full);
+        return false;
+    }
+
+    private Lack set(List<Integer> group, int start, int i, byte[][] before, Job job) {
+        Lack lack = null;
+        int bin = start + i;
+        for (int g = 0; g < group.size(); g++) {
+            int cache = group.get(g);
+            before[g][i] = board.get(cache, bin);
+            // A cache that is out or cold by an agreed window or by itself can't have its window there too.
+            lack = before[g][i] == Board.IN ? lack : new Lack(Lacks.TIME, -1, board.world.caches().get(cache).name(), 1, 0,
+                    board.world.time(bin));
+            board.set(cache, bin, i < job.length ? Board.OUT : Board.COLD);
+        }
+        for (int g = 0; g < group.size() && lack == null; g++) {
+            lack = board.lack(group.get(g), bin);
+        }
+        return lack;
+    }
+
     private List<Batch> batches(Wish wish, Try best, int length) {
         Map<Integer, List<String>> byStart = new TreeMap<>();
         best.placed.forEach(p -> byStart.computeIfAbsent(p.start, s -> new ArrayList<>())
--- a/windows/src/test/java/tamarindroute/windows/Measure.java
+++ b/windows/src/test/java/tamarindroute/windows/Measure.java
@@ -14,7 +14,9 @@
     private Measure() { }
 
     public static void main(String[] args) {
-        time();
+        if (args.length < 2) {
+            time();
+        }
         quality(args.length > 0 ? Integer.parseInt(args[0]) : 300);
         for (int seed = 1; seed <= 3; seed++) {
             night(seed);
