--- a/facts/src/main/java/tamarindroute/shares/Dealer.java
+++ b/facts/src/main/java/tamarindroute/shares/Dealer.java
@@ -83,15 +83,17 @@
         if (word instanceof Word.Leave leave) {
             return new Step(next.with(member.address(), place.left(member.birth(), leave.number())), null);
         }
-        boolean may = word instanceof Word.Ask && deals(now) && place.lives() && member.birth() == place.birth()
-                && !place.full();
-        return may ? next.dealing(member, word.number(), now) : new Step(next, null);
+        if (!(word instanceof Word.Ask) || !place.lives() || member.birth() != place.birth()) {
+            return new Step(next, null);
+        }
+        next = next.with(member.address(), place.asked(now));
+        return deals(now) && !place.full() ? next.dealing(member, word.number(), now) : new Step(next, null);
     }
 
     private Step dealing(Member member, long number, Duration now) {
         Place place = places.get(member.address());
         Duration end = now.plus(bound.length());
-        long part = Math.min(target(member.address(), now, end), bound.most() - claimed(member.address(), now, end));
+        long part = Math.min(target(now, end), bound.most() - claimed(member.address(), now, end));
         if (place.ownsFixed(now)) {
             part = Math.max(part, bound.fixed());
         }
@@ -105,15 +107,15 @@
                 new Word.Grant(member, number, part, bound.length()));
     }
 
-    /** An equal part of all that need not be kept back for those without a lease. */
-    private long target(Address asking, Duration now, Duration end) {
+    /** An equal part, of those that ask, of all that need not be kept back for others. */
+    private long target(Duration now, Duration end) {
         long kept = 0;
         int holders = 0;
-        for (Map.Entry<Address, Place> one : places.entrySet()) {
-            if (one.getKey().equals(asking) || one.getValue().holds(now)) {
+        for (Place one : places.values()) {
+            if (one.shares(now, bound)) {
                 holders++;
             } else {
-                kept += one.getValue().claim(now, end, bound);
+                kept += one.claim(now, end, bound);
             }
         }
         return (bound.most() - kept) / holders;
--- a/facts/src/main/java/tamarindroute/shares/Place.java
+++ b/facts/src/main/java/tamarindroute/shares/Place.java
@@ -13,15 +13,18 @@
  * @param emptyAt whoever lives here and was not heard has begun after this, or null; it is quiet until well past it
  * @param gone an agreed word of an operator says that nothing runs here
  * @param reliedUntil until when leases of others rely on nobody being here
+ * @param askedAt when it last asked, also while nothing was dealt yet: those that asked of late are dealt equal parts. With
+ *     the holders of leases alone the first that asked a new dealer was dealt all, and the rest waited for its end
  * @param dealt the leases that may be in use; of two the one that is neither larger nor longer is left out
  */
 record Place(long birth, Duration heardAt, boolean over, Duration emptyAt, boolean gone, Duration reliedUntil,
-        List<Dealt> dealt) {
+        Duration askedAt, List<Dealt> dealt) {
 
     /** A holder asks every third of a length, so that sound ones have three or four; more are refused. */
     private static final int MOST_DEALT = 6;
 
-    static final Place UNHEARD = new Place(0, Duration.ZERO, true, null, false, Duration.ZERO, List.of());
+    static final Place UNHEARD = new Place(0, Duration.ZERO, true, null, false, Duration.ZERO, Duration.ZERO,
+            List.of());
 
     record Dealt(long number, long part, Duration at, Duration until) { }
 
@@ -31,7 +34,7 @@
      */
     Place heard(long from, Duration now) {
         if (from > birth) {
-            return new Place(from, now, false, emptyAt, gone, reliedUntil, List.of());
+            return new Place(from, now, false, emptyAt, gone, reliedUntil, askedAt, List.of());
         }
         return from == birth && gone ? ended(false, emptyAt) : this;
     }
@@ -43,7 +46,7 @@
     Place empty(Duration at) {
         Duration latest = emptyAt != null && emptyAt.compareTo(at) > 0 ? emptyAt : at;
         return heardAt.compareTo(at) < 0 ? ended(true, latest) : new Place(birth, heardAt, over, latest, gone,
-                reliedUntil, dealt);
+                reliedUntil, askedAt, dealt);
     }
 
     /** That life is over. It lived when its asking was answered, so that whoever follows has begun since. */
@@ -59,17 +62,18 @@
     }
 
     Place gone(boolean agreed) {
-        return new Place(birth, heardAt, over || agreed, emptyAt, agreed, reliedUntil, agreed ? List.of() : dealt);
+        return new Place(birth, heardAt, over || agreed, emptyAt, agreed, reliedUntil, askedAt,
+                agreed ? List.of() : dealt);
     }
 
     /** Whatever was dealt before is waited out by whoever calls this. */
     Place nothingDealt() {
-        return new Place(birth, heardAt, over, emptyAt, gone, Duration.ZERO, List.of());
+        return new Place(birth, heardAt, over, emptyAt, gone, Duration.ZERO, askedAt, List.of());
     }
 
     /** Somebody else's lease until then counts on nobody being here, if that is so. */
     Place relied(Duration until, Bound bound) {
-        return surelyEmpty(until, bound) ? new Place(birth, heardAt, over, emptyAt, gone, until, dealt) : this;
+        return surelyEmpty(until, bound) ? new Place(birth, heardAt, over, emptyAt, gone, until, askedAt, dealt) : this;
     }
 
     boolean lives() {
@@ -87,6 +91,15 @@
         return with(kept);
     }
 
+    Place asked(Duration now) {
+        return new Place(birth, heardAt, over, emptyAt, gone, reliedUntil, now, dealt);
+    }
+
+    /** Whether it is one of those among whom is dealt. */
+    boolean shares(Duration now, Bound bound) {
+        return lives() && (holds(now) || askedAt.plus(bound.length()).compareTo(now) > 0);
+    }
+
     boolean holds(Duration now) {
         return dealt.stream().anyMatch(one -> now.compareTo(one.until) < 0);
     }
@@ -108,10 +121,10 @@
     }
 
     private Place ended(boolean proven, Duration empty) {
-        return new Place(birth, heardAt, proven, empty, gone, reliedUntil, List.of());
+        return new Place(birth, heardAt, proven, empty, gone, reliedUntil, askedAt, List.of());
     }
 
     private Place with(List<Dealt> other) {
-        return new Place(birth, heardAt, over, emptyAt, gone, reliedUntil, List.copyOf(other));
+        return new Place(birth, heardAt, over, emptyAt, gone, reliedUntil, askedAt, List.copyOf(other));
     }
 }
