--- a/router/src/main/java/tamarindroute/config/Element.java
+++ b/router/src/main/java/tamarindroute/config/Element.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.URL;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -25,16 +26,16 @@
 import org.xml.sax.helpers.DefaultHandler;
 
 /** One element of a file that keeps to the schema, with the schema's defaults filled in, and where it stands. */
-final class Element {
+public final class Element {
 
     private static final String SCHEMA = "tamarindroute.xsd";
     /** A thousand locations with a thousand networks each have no place in one file. */
     private static final long LARGEST = 4 << 20;
     private static final int MOST_FAULTS = 100;
 
-    final String name;
-    final int line;
-    final int column;
+    public final String name;
+    public final int line;
+    public final int column;
     private final Map<String, String> attributes = new HashMap<>();
     private final List<Element> children = new ArrayList<>();
 
@@ -45,25 +46,29 @@
     }
 
     /** The attribute; null where it is absent and has no default. */
-    String text(String attribute) {
+    public String text(String attribute) {
         return attributes.get(attribute);
     }
 
-    int whole(String attribute) {
+    public int whole(String attribute) {
         return Integer.parseInt(attributes.get(attribute).strip());
     }
 
-    List<Element> all(String child) {
+    public List<Element> all(String child) {
         return children.stream().filter(one -> one.name.equals(child)).toList();
     }
 
     /** The one child of this name; null where it is absent. */
-    Element one(String child) {
+    public Element one(String child) {
         return all(child).stream().findFirst().orElse(null);
     }
 
-    /** Reads a file; what keeps it from being one of the schema goes to the faults, and null comes back. */
     static Element read(Path file, List<Fault> faults) {
+        return read(file, Element.class.getResource(SCHEMA), faults);
+    }
+
+    /** Reads a file; what keeps it from being one of the schema goes to the faults, and null comes back. */
+    public static Element read(Path file, URL schema, List<Fault> faults) {
         try {
             if (Files.size(file) > LARGEST) {
                 faults.add(new Fault(file.toString(), 0, 0, "larger than " + LARGEST + " bytes"));
@@ -74,7 +79,7 @@
             parsers.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
             // No external entities, and no internal ones that grow: a file that declares any is refused.
             parsers.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
-            ValidatorHandler validator = schema().newValidatorHandler();
+            ValidatorHandler validator = schema(schema).newValidatorHandler();
             Tree tree = new Tree(file.toString(), faults);
             validator.setContentHandler(tree);
             validator.setErrorHandler(tree);
@@ -97,12 +102,14 @@
         }
     }
 
-    private static Schema schema() throws SAXException {
+    private static Schema schema(URL told) throws SAXException, IOException {
         SchemaFactory schemas = SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI);
         schemas.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
         schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
         schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
-        return schemas.newSchema(new StreamSource(Element.class.getResourceAsStream(SCHEMA)));
+        try (InputStream in = told.openStream()) {
+            return schemas.newSchema(new StreamSource(in));
+        }
     }
 
     /** Gathers the elements, and the faults with their places. */
@@ -166,7 +173,7 @@
 
         /** The validator's words without its rule's number and the namespace. */
         private static String plain(String message) {
-            return message.replaceFirst("^[a-zA-Z0-9.\\-]+: ", "").replace("\"urn:tamarindroute:settings:1\":", "");
+            return message.replaceFirst("^[a-zA-Z0-9.\\-]+: ", "").replaceAll("\"urn:tamarindroute:[a-z]+:1\":", "");
         }
     }
 }
--- a/router/src/main/java/tamarindroute/config/UnusableException.java
+++ b/router/src/main/java/tamarindroute/config/UnusableException.java
@@ -11,7 +11,7 @@
 
     private final transient List<Fault> faults;
 
-    UnusableException(List<Fault> faults) {
+    public UnusableException(List<Fault> faults) {
         super(faults.stream().map(Fault::toString).collect(Collectors.joining("\n")));
         this.faults = List.copyOf(faults);
     }
--- a/router/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/router/src/main/java/tamarindroute/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Settings;
 import tamarindroute.host.Clock;
+import tamarindroute.host.Companion;
 import tamarindroute.host.Config;
 import tamarindroute.host.Instance;
 import tamarindroute.host.Roster;
@@ -31,8 +32,10 @@
     private final Config config;
     private final Chain chain;
     private final WarmUp warmUp;
+    private final Companion companion;
 
-    private Gateway(Config config, Function<Settings, Decisions> module) throws IOException {
+    private Gateway(Config config, Function<Settings, Decisions> module, Companion companion) throws IOException {
+        this.companion = companion;
         this.config = config.started();
         this.clock = new Clock();
         Decisions decisions = module.apply(config.settings().settings(config.seed()));
@@ -50,12 +53,21 @@
         return new Chain(config.settings(), decisions, clock, instance.pool(), roster);
     }
 
-    /** Starts a gateway from its configuration file; returns at once, the rest goes on in threads of its own. */
-    public static synchronized void start(String path, Function<Settings, Decisions> module) throws IOException {
+    /** Starts a gateway alone. */
+    public static void start(String path, Function<Settings, Decisions> module) throws IOException {
+        start(path, module, null);
+    }
+
+    /**
+     * Starts a gateway from its configuration file, with what lives beside it or null; returns at once, the rest goes
+     * on in threads of its own.
+     */
+    public static synchronized void start(String path, Function<Settings, Decisions> module, Companion companion)
+            throws IOException {
         // SIGHUP would end the process until it has a handler: this goes before all else.
         AtomicReference<Gateway> started = new AtomicReference<>();
         Signal.handle(new Signal("HUP"), signal -> reread(path, started));
-        Gateway gateway = new Gateway(Config.read(path), module);
+        Gateway gateway = new Gateway(Config.read(path), module, companion);
         gateway.clock.handOver(gateway::open);
         started.set(gateway);
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
@@ -84,13 +96,24 @@
             instance.sockets().listen(config.listen(), connection ->
                     warmUp.over() ? chain.takeIn(connection) : warmUp.door(connection, chain::takeIn));
         } catch (IOException e) {
-            System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
-            Runtime.getRuntime().halt(1);
+            fail("cannot listen on " + config.listen() + ": " + e.getMessage());
+        }
+        try {
+            if (companion != null) {
+                companion.started(instance);
+            }
+        } catch (IOException e) {
+            fail(e.getMessage());
         }
         instance.follow();
         warmUp.start();
     }
 
+    private static void fail(String why) {
+        System.err.println("serve: " + why);
+        Runtime.getRuntime().halt(1);
+    }
+
     /** The code is warm: clients may come, once the list is in. */
     private void warm() {
         Log.line("warm", "after " + clock.now().toMillis() + " ms, " + warmUp.views() + " views");
@@ -104,7 +127,12 @@
     /** On SIGTERM, on the stopping thread: takes in on for a while, answers all, and lets the process end. */
     private void stop() {
         Duration from = clock.now();
-        clock.handOver(() -> chain.ready(false));
+        clock.handOver(() -> {
+            chain.ready(false);
+            if (companion != null) {
+                companion.stopping();
+            }
+        });
         try {
             Thread.sleep(STILL_COMING.toMillis());
             Duration longest = config.settings().longestCutOff();
--- a/router/src/main/java/tamarindroute/log/Guard.java
+++ b/router/src/main/java/tamarindroute/log/Guard.java
@@ -11,16 +11,25 @@
     private final Map<String, long[]> last = new HashMap<>();
 
     /** How many lines were left out before this one; -1 where this one is left out as well. */
-    synchronized int pass(String topic, long now) {
-        long[] of = last.computeIfAbsent(topic, t -> new long[] {Long.MIN_VALUE / 2, 0});
+    int pass(String topic, long now) {
+        return pass(topic, now, 1);
+    }
+
+    /** The same with some lines a second instead of one. */
+    synchronized int pass(String topic, long now, int most) {
+        long[] of = last.computeIfAbsent(topic, t -> new long[] {Long.MIN_VALUE / 2, 0, 0});
         // A clock that was set back must not silence a topic until it has caught up.
-        if (now >= of[0] && now - of[0] < PAUSE) {
+        if (now < of[0] || now - of[0] >= PAUSE) {
+            of[0] = now;
+            of[2] = 0;
+        }
+        if (of[2] >= most) {
             of[1]++;
             return -1;
         }
         int leftOut = (int) of[1];
-        of[0] = now;
         of[1] = 0;
+        of[2]++;
         return leftOut;
     }
 }
--- a/router/src/main/java/tamarindroute/log/Log.java
+++ b/router/src/main/java/tamarindroute/log/Log.java
@@ -21,6 +21,9 @@
     /** Which provider writes, and in which form. */
     public enum Form { SMALL, PLAIN, JSON }
 
+    /** A change each of a few dozen members at once; what thousands do at once is counted. */
+    private static final int CHANGES = 64;
+
     private static final Guard GUARD = new Guard();
 
     private Log() { }
@@ -45,7 +48,15 @@
 
     /** One line with named values: a name, its value, and so on. */
     public static void event(String topic, Object particulars, Object... named) {
-        int leftOut = GUARD.pass(topic, System.currentTimeMillis());
+        write(GUARD.pass(topic, System.currentTimeMillis()), topic, particulars, named);
+    }
+
+    /** One line of a topic whose lines are changes that differ from each other: some a second pass. */
+    public static void change(String topic, Object particulars) {
+        write(GUARD.pass(topic, System.currentTimeMillis(), CHANGES), topic, particulars);
+    }
+
+    private static void write(int leftOut, String topic, Object particulars, Object... named) {
         if (leftOut < 0) {
             return;
         }
--- a/router/src/main/java/tamarindroute/protocol/Seal.java
+++ b/router/src/main/java/tamarindroute/protocol/Seal.java
@@ -65,7 +65,8 @@
         return new Opened(message, next(heard, run, number));
     }
 
-    private static Heard next(Heard heard, long run, long number) throws MalformedException {
+    /** What has been heard with one more message; throws where it is not new. */
+    public static Heard next(Heard heard, long run, long number) throws MalformedException {
         if (number < 0 || run < heard.run) {
             throw new MalformedException("of an earlier run");
         }
