--- a/router/src/main/java/tamarindroute/config/Element.java
+++ b/router/src/main/java/tamarindroute/config/Element.java
@@ -109,6 +109,9 @@
         schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
         try (InputStream in = told.openStream()) {
             return schemas.newSchema(new StreamSource(in));
+        } catch (SAXParseException e) {
+            // Not the file's fault, so that no place in it can be told.
+            throw new IllegalStateException("the schema " + told + " is none: " + e, e);
         }
     }
 
