--- a/members/src/main/java/tamarindroute/members/Endpoint.java
+++ b/members/src/main/java/tamarindroute/members/Endpoint.java
@@ -46,44 +46,44 @@
 
     private final Timers timers;
     private final Datagrams datagrams;
-    private final InetSocketAddress own;
-    private final Map<Address, InetSocketAddress> ways;
-    private final Membership membership;
+    private final MembersSettings settings;
     private final Birth birth;
+    private final long proposed;
     private final Post post;
     private final Listener listener;
+    private Membership membership;
     private Runnable timer = () -> { };
     private Duration due;
     private boolean left;
 
-    /** Not yet listening. The birth proposed is past the one that the state file tells, near the wall clock's. */
+    /** The birth proposed is past the one that the state file tells, near the wall clock's. */
     public Endpoint(Timers timers, Datagrams datagrams, MembersSettings settings, long wallMillis, Listener listener) {
         this.timers = timers;
         this.datagrams = datagrams;
-        this.own = settings.listen();
-        this.ways = settings.ways();
+        this.settings = settings;
         this.birth = new Birth(settings.state());
+        this.proposed = birth.propose(wallMillis);
         this.post = new Post(settings.seal(), settings.membership().members());
         this.listener = listener;
-        this.membership = new Membership(settings.membership(),
-                new Member(settings.name(), birth.propose(wallMillis)), settings.seeds(), Steady.now());
     }
 
-    /** Listens and takes the first steps. */
+    /** Listens and takes the first steps; the membership begins once it can be heard, not before. */
     public void start() throws IOException {
         try {
-            datagrams.listen(own, (bytes, from, at, answer) -> taken(bytes, from));
+            datagrams.listen(settings.listen(), (bytes, from, at, answer) -> taken(bytes, from));
         } catch (IOException e) {
-            throw new IOException("members: cannot listen on " + own + ": " + e.getMessage(), e);
+            throw new IOException("members: cannot listen on " + settings.listen() + ": " + e.getMessage(), e);
         }
-        birth.keep(membership.self().birth());
-        Log.change("members", "listening on " + MembersSettings.address(own) + ", self " + membership.self());
+        Member self = new Member(settings.name(), proposed);
+        birth.keep(proposed);
+        Log.change("members", "listening on " + MembersSettings.address(settings.listen()) + ", self " + self);
+        membership = new Membership(settings.membership(), self, settings.seeds(), Steady.now());
         tick();
     }
 
     /** Goes in order: the others hear of it and need not find out. */
     public void leave() {
-        if (!left) {
+        if (!left && membership != null) {
             left = true;
             timer.run();
             step(membership.leave(Steady.now()));
@@ -192,9 +192,9 @@
     }
 
     private void send(Address to, Letter letter) {
-        InetSocketAddress way = ways.containsKey(to) ? ways.get(to) : straight(to);
+        InetSocketAddress way = settings.ways().containsKey(to) ? settings.ways().get(to) : straight(to);
         if (way != null) {
-            datagrams.send(own, way, post.seal(letter));
+            datagrams.send(settings.listen(), way, post.seal(letter));
         }
     }
 
