--- a/members/src/test/java/tamarindroute/members/Town.java
+++ b/members/src/test/java/tamarindroute/members/Town.java
@@ -30,7 +30,8 @@
 
     static final byte[] KEY = new byte[32];
     /** Longer than a busy machine's pauses, so that nobody is taken for dead by them. */
-    static final Settings FAST = new Settings(Duration.ofMillis(400), Duration.ofMillis(50), Duration.ofMillis(1_000), 3, 12, 2, 5, 24, 65_536, 8_192, Settings.Guards.ALL);
+    static final Settings FAST = new Settings(Duration.ofMillis(400), Duration.ofMillis(50), Duration.ofMillis(1_000),
+            3, 12, 2, 5, 24, 65_536, 8_192, Settings.Guards.ALL);
 
     /** One member, and all that it was told. */
     final class Node {
