The decision code becomes a package of eight files by concern; a move, not a rewrite

Cause: one file of 841 lines (749 not blank) held all decisions; who reads or changes one concern met all.

Change: tamarindroute.policy: Brain (the interface and the order in which the parts are asked), Caches (the tiers, their order for a key, what is measured over all), Node and Fading (what is held of one cache: measures, cold share, sequential test), Popularity (the table, the ratio test), Placing (kept, straight, passed trips, sources), Judging (note, blame, overdue, what a view's trips have shown), Rules (no effect twice, purges' age, tries, giving up).

--- /dev/null
+++ b/policy/src/main/java/tamarindroute/policy/Judging.java
@@ -0,0 +1,146 @@
+package tamarindroute.policy;
+
+import static tamarindroute.policy.Caches.seconds;
+
+import java.util.function.Supplier;
+import tamarindroute.decision.*;
+import tamarindroute.decision.Outcome.Detail;
+import tamarindroute.decision.Outcome.Result;
+
+/** Owns the judging of outcomes: to whose account each goes, and what a view's trips have shown so far. */
+record Judging(Caches all, Popularity popularity, Rules rules) {
+
+    static final Answer NOT_YET = new Answer.NotYet();
+
+    /** A trip that is late speaks against its cache and its source. If a further trip can still be in time,
+     *  it goes out beside the late one, or where two at once are not allowed the late one is recalled, once
+     *  its cache or source is doubted for other views' sake too. Guards against whatever takes views and
+     *  answers none. */
+    Answer overdue(View view, Trip trip, double now, Supplier<Answer> next) {
+        Node node = all.nodes.get(trip.cache);
+        Node source = all.nodes.get(trip.source);
+        double work = all.work(view);
+        blame(trip, node, source, true, 0.5, now);
+        if (source != node && !trip.onlyHeld) {
+            source.waited(now - seconds(trip.sent) - work, now);
+        }
+        if (now + 1.2 * work > all.agreed(view) || !rules.furtherAllowed(view, now)
+                || !Rules.mayRun(view, now)) {
+            return NOT_YET;
+        }
+        if (all.settings.secondCopies()) {
+            return next.get() instanceof Trip further ? further : NOT_YET;
+        }
+        // What can't be kept has the one origin as its source wherever it goes: asked again by way of another
+        // cache by a hundred gateways, a slow origin only gets slower. It moves for its cache's sake alone.
+        double doubt = Math.max(node.doubt.read(now), view.profile.kept() ? source.doubt.read(now) : 0);
+        return all.settings.recalls() && doubt > 3 ? new Answer.Recall(trip) : NOT_YET;
+    }
+
+    /** Puts a failure to the account of whoever caused it. The look that went first has just proved the
+     *  cache, so a fill's failure is its source's, unless sources are told of and this one was not; behind a
+     *  parent it may be the origin's too. Guards against judging caches by what the tier above them does. */
+    private void blame(Trip trip, Node node, Node source, boolean silent, double weight, double now) {
+        Node parent = node.cache.tier == Cache.Tier.PARENT ? node : source;
+        Detail detail = silent ? Detail.UNTOLD : trip.outcome.detail();
+        if (source == node || detail == Detail.UNTOLD && !silent && all.settings.tellsSources()) {
+            node.judge(weight, now);
+            return;
+        }
+        boolean beyond = parent.cache.tier == Cache.Tier.PARENT && !trip.onlyHeld;
+        if (beyond && (detail == Detail.UNTOLD || detail == Detail.ORIGIN_FAILED)) {
+            all.origins.forEach(origin -> origin.judge(weight / (silent ? 4 : 2), now));
+        }
+        if (!beyond || detail != Detail.ORIGIN_FAILED) {
+            parent.judge(weight, now);
+        }
+    }
+
+    /** Puts a trip's outcome to the account of the cache or of its source, and to the measures. */
+    void note(View view, Trip trip, double now) {
+        Outcome outcome = trip.outcome;
+        Node node = all.nodes.get(trip.cache);
+        Node source = all.nodes.get(trip.source);
+        all.count(trip, -1, now);
+        rules.ended().add(1, now);
+        switch (outcome.result()) {
+            case HONOURED -> {
+                node.judge(-1, now);
+                if (source == node && node.cache.tier == Cache.Tier.EDGE) {
+                    double alone = all.work(view) * Math.max(1, node.busy(now));
+                    double slower = (seconds(outcome.took()) - all.near) / alone;
+                    node.slowness.toward(Math.min(10, slower), 0.15, now);
+                }
+                if (view.profile.kept()) {
+                    noteCopy(view, trip, node, source, now);
+                }
+            }
+            case MISSED -> source.judge(-1, now);
+            case ERRED, BROKEN -> blame(trip, node, source, false, 1, now);
+            case TIMED_OUT -> blame(trip, node, source, true, 0.5, now);
+            case UNREACHED -> node.judge(1, now);
+            case TURNED_AWAY -> {
+                rules.swamped().add(1, now);
+                if (source != node) {
+                    blame(trip, node, source, false, 0.3, now);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** What an answer tells of copies and waits: a hit moves the marginal and d, a fill moves d or D. */
+    private void noteCopy(View view, Trip trip, Node node, Node source, double now) {
+        Outcome outcome = trip.outcome;
+        Popularity.Item item = popularity.item(view, now);
+        double charge = all.charge(view);
+        boolean atHome = node == Caches.home(all.edges, Popularity.key(view), e -> e.usable(charge, now));
+        double wait = seconds(outcome.took()) - all.work(view);
+        if (outcome.detail() == Detail.HIT) {
+            popularity.noteHit(item.density());
+            all.near = atHome ? Caches.toward(all.near, wait) : all.near;
+            source.allowance += source.cache.tier == Cache.Tier.PARENT ? charge : 0;
+        } else if (source != node && outcome.detail().compareTo(Detail.FILLED) >= 0
+                && outcome.detail() != Detail.OLD) {
+            source.judge(-1, now);
+            double first = outcome.sourceWait() == null ? wait : seconds(outcome.sourceWait());
+            if (source.cache.tier == Cache.Tier.EDGE) {
+                all.near = Caches.toward(all.near, first);
+            } else if (!trip.onlyHeld) {
+                all.far = Caches.toward(all.far, first);
+                source.waited(first, now);
+                boolean beyond = outcome.detail() == Detail.FROM_ORIGIN || lookedAt(view, node, source);
+                all.origins.forEach(origin -> origin.judge(beyond ? -1 : -0.5, now));
+            }
+        }
+        item.heldAt = atHome ? now : item.heldAt;
+    }
+
+    /** Whether a trip came back wrong by its source's fault: so told, or where that is not told, taken so. */
+    private boolean sourceFailed(Trip trip) {
+        Detail detail = trip.outcome.detail();
+        return trip.source != trip.cache && !trip.outcome.result().equals(Result.UNREACHED)
+                && (detail == Detail.UNTOLD ? !all.settings.tellsSources()
+                : detail.compareTo(Detail.SOURCE_REFUSED) >= 0 && detail != Detail.NO_ROOM_FOR_FILL);
+    }
+
+    /** Whether a trip of this view went wrong by this cache's fault, or is still out there. */
+    boolean failedAt(View view, Node node) {
+        return view.trips.stream().anyMatch(t -> t.cache == node.cache && (t.outcome == null
+                || t.outcome.result() != Result.MISSED && !sourceFailed(t)));
+    }
+
+    /** Whether this place has been asked in vain to fill this view, or is being asked. */
+    boolean askedToFill(View view, Node source) {
+        return view.trips.stream().anyMatch(t -> t.source == source.cache
+                && !(t.onlyHeld && source.cache.tier == Cache.Tier.PARENT)
+                && (t.outcome == null || t.outcome.result() == Result.MISSED || sourceFailed(t)
+                || t.outcome.result() == Result.RECALLED || t.outcome.result() == Result.TIMED_OUT));
+    }
+
+    /** Whether the cache is known to lack the object and, for another source, that one too. */
+    static boolean lookedAt(View view, Node node, Node source) {
+        return view.trips.stream().anyMatch(t -> t.cache == node.cache && t.source == source.cache
+                && t.outcome != null && t.outcome.result() == Result.MISSED);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/tamarindroute/policy/Node.java
@@ -0,0 +1,148 @@
+package tamarindroute.policy;
+
+import static tamarindroute.policy.Caches.seconds;
+
+import java.time.Duration;
+import java.util.Objects;
+import tamarindroute.decision.*;
+
+/** Owns what this gateway knows of one cache from its own trips: measures, cold share, sequential test. */
+final class Node {
+
+    final Cache cache;
+    private final Caches all;
+    private final Settings.ColdStart start;
+    private final long stirred;
+    private Duration upSince;
+    /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
+    final Fading inHand = new Fading(3, 0);
+    final Fading fillWait = new Fading(10, 0);
+    final Fading slowness = new Fading(10, 1);
+    final Fading told = new Fading(4, 1);
+    final Fading doubt = new Fading(20, 0);
+    boolean barred;
+    private double triedAt, wait, allowanceAt;
+    double allowance, score;
+    int hubsAway;
+    private View drawnFor;
+    private boolean won;
+
+    Node(Cache cache, Caches all) {
+        this.cache = cache;
+        this.all = all;
+        this.stirred = Caches.stir(cache.mark);
+        this.start = cache.tier == Cache.Tier.PARENT ? all.settings.parentStart() : all.settings.edgeStart();
+    }
+
+    /** Its place for a key: the lowest comes first. */
+    void score(long key) {
+        double u = ((Caches.stir(key ^ stirred) >>> 11) + 0.5) / 0x1p53;
+        score = -Math.log(u) / Math.max(1e-6, cache.weight);
+    }
+
+    /** A process that has just started owes nothing of its former self's. */
+    void listed(double now) {
+        if (!Objects.equals(upSince, cache.upSince)) {
+            upSince = cache.upSince;
+            allowance = 0;
+            allowanceAt = now;
+            barred = false;
+            doubt.value = 0;
+        }
+    }
+
+    boolean cold(double now) {
+        return cache.upSince != null && cache.tier != Cache.Tier.ORIGIN
+                && now < seconds(cache.upSince) + seconds(start.warmAfter());
+    }
+
+    boolean ready() {
+        return cache.standing == Cache.Standing.READY;
+    }
+
+    /** This instance's share of the work a second that pushes a cold cache over. */
+    double rate(double now) {
+        double age = Math.max(0, now - seconds(cache.upSince));
+        double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
+        return start.multiple() * warmth * cache.weight / sharers();
+    }
+
+    /** Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
+     *  multiple: 0.7 of it flows in, 0.4 may wait. Where that is less than the view, it goes by lot, once a
+     *  view, at odds of what has flowed in, which is then spent: gateways that each saved up a view came
+     *  together, and a cache of very many starved until then. Spent at the cache's start as at this gateway's
+     *  own, which forgot what it sent. */
+    boolean bears(double work, double now) {
+        if (!cold(now)) {
+            return true;
+        }
+        double rate = rate(now);
+        double most = 0.4 * rate * seconds(start.window());
+        allowance = Math.min(most, allowance + 0.7 * rate * (now - allowanceAt));
+        allowanceAt = now;
+        if (most >= work || all.asking == null) {
+            return allowance >= work;
+        }
+        if (drawnFor != all.asking) {
+            drawnFor = all.asking;
+            won = all.chance() * work < allowance;
+            allowance = won ? allowance : Math.min(0, allowance);
+        }
+        return won;
+    }
+
+    void spend(double work) {
+        allowance = won && drawnFor == all.asking ? 0 : allowance - work;
+        won = false;
+    }
+
+    /** The sequential test: the log of how much better the outcomes fit a bad cache, which fails 4 in 10,
+     *  than a good one, which fails 1 in 50; never below 0, fading in 20 s, barred at 6. Guards against
+     *  caches that fail fast, hang or are gone, whatever the cause. */
+    void judge(double weight, double now) {
+        if (weight > 0) {
+            doubt.add(Math.min(9 - doubt.read(now), 3 * weight), now);
+            if (barred || doubt.value >= 6) {
+                wait = barred ? Math.min(4, wait * 2) : 1;
+                barred = true;
+                triedAt = now;
+            }
+        } else {
+            doubt.add(Math.max(-doubt.read(now), (barred ? 4 : 1) * 0.5 * weight), now);
+            wait = 0.25;
+            barred &= doubt.value >= 3;
+        }
+    }
+
+    private int sharers() {
+        return cache.tier == Cache.Tier.PARENT ? all.settings.gateways() : all.settings.gatewaysInZone();
+    }
+
+    /** The part of its link that one more transfer would find taken, if all gateways send alike. */
+    double busy(double now) {
+        return cache.tier == Cache.Tier.ORIGIN ? 0 : (inHand.ofAll(sharers(), now) + 1) / cache.weight;
+    }
+
+    /** How many times longer than alone a transfer takes there: by its crowd and its hits beyond that. */
+    double crowding(double now) {
+        double crowd = told.read(now) < 0.7 ? 1 : Math.max(1, busy(now));
+        return crowd * Math.max(1, slowness.read(now));
+    }
+
+    /** A sample of a wait there; one alone does not make it slow. */
+    void waited(double sample, double now) {
+        fillWait.toward(Math.min(sample, 4 * Math.max(all.far, fillWait.read(now))), 0.2, now);
+    }
+
+    boolean usable(double work, double now) {
+        return ready() && !barred && bears(work, now);
+    }
+
+    /** Whether a barred cache is due for a try: with a view that may run again, now and then. */
+    boolean trial(View view, double now) {
+        boolean due = barred && ready() && now >= triedAt + wait && bears(all.charge(view), now)
+                && view.profile.repeat() == Profile.Repeat.REISSUABLE;
+        triedAt = due ? now : triedAt;
+        return due;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/tamarindroute/policy/Popularity.java
@@ -0,0 +1,88 @@
+package tamarindroute.policy;
+
+import java.util.LinkedHashMap;
+import tamarindroute.decision.View;
+
+/** Owns the table of popularities and the ratio test, which tells what is spread over the edges. */
+final class Popularity {
+
+    /** The window of the design page, and its weight of the newest window. */
+    private static final double WINDOW = 5;
+    private static final double ALPHA = 0.4;
+    /** Bounds the table; several times what a location's caches hold at the sizes seen. */
+    private static final int TABLE = 20_000;
+
+    /** One part of an object in the table of popularities. */
+    static final class Item {
+        private final double kilobytes;
+        private double popularity;
+        int count;
+        private long window;
+        private boolean hot;
+        double heldAt = -1;
+
+        Item(double kilobytes) {
+            this.kilobytes = kilobytes > 0 ? kilobytes : 1;
+        }
+
+        /** Brings the popularity to the end of the last whole window. */
+        void roll(long current) {
+            if (current > window) {
+                popularity = (1 - ALPHA) * popularity + ALPHA * count / WINDOW;
+                popularity *= Math.pow(1 - ALPHA, current - window - 1);
+                count = 0;
+                window = current;
+            }
+        }
+
+        double density() {
+            return popularity / kilobytes;
+        }
+    }
+
+    private final LinkedHashMap<Long, Item> table = new LinkedHashMap<>(1024, 0.75f, true);
+    private double tableBytes, hotBytes, marginal;
+    private int marginalSamples;
+
+    static long key(View view) {
+        return Caches.stir(view.object * 1000003 + view.part);
+    }
+
+    Item item(View view, double now) {
+        long key = key(view);
+        Item item = table.get(key);
+        if (item == null) {
+            item = new Item(view.kilobytes);
+            item.window = (long) (now / WINDOW);
+            table.put(key, item);
+            tableBytes += item.kilobytes;
+            if (table.size() > TABLE) {
+                Item out = table.remove(table.keySet().iterator().next());
+                hotBytes -= out.hot ? out.kilobytes : 0;
+                tableBytes -= out.kilobytes;
+            }
+        }
+        item.roll((long) (now / WINDOW));
+        return item;
+    }
+
+    /** The ratio test of the design page, and the bound on the middle rank's share of the bytes. */
+    boolean hot(Item item, Caches all) {
+        long n = all.edges.stream().filter(Node::ready).count();
+        boolean passes = n > 1 && all.settings.siblings() && marginalSamples >= 50 && all.near < all.far
+                && item.density() > marginal * (n * all.far - (n - 1) * all.near) / all.near;
+        boolean hot = passes && (item.hot || (hotBytes + item.kilobytes) * n <= 0.5 * tableBytes);
+        hotBytes += hot == item.hot ? 0 : hot ? item.kilobytes : -item.kilobytes;
+        item.hot = hot;
+        return hot;
+    }
+
+    /** The marginal: a tenth of the hits are of lower density; each hit moves it a bit, so that it ages. */
+    void noteHit(double density) {
+        if (density > 0) {
+            double step = marginalSamples++ < 200 ? 0.3 : 0.05;
+            marginal = marginalSamples == 1 ? density
+                    : marginal * Math.exp(density < marginal ? -step * 0.9 : step * 0.1);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/tamarindroute/policy/Rules.java
@@ -0,0 +1,77 @@
+package tamarindroute.policy;
+
+import static tamarindroute.policy.Caches.*;
+
+import java.time.Duration;
+import java.util.*;
+import tamarindroute.decision.*;
+import tamarindroute.decision.Profile.Repeat;
+
+/** Owns what guards the rules: no effect twice, no copy from before a purge, few tries, how to give up.
+ *  Its purges tell when objects (by a Long) and groups (by an Integer) were last purged. */
+record Rules(Caches all, Map<Object, Double> purges, Fading ended, Fading swamped) {
+
+    Rules(Caches all) {
+        this(all, new LinkedHashMap<>(), new Fading(3, 0), new Fading(3, 0));
+    }
+
+    void purged(Purge purge, double now) {
+        purges.values().removeIf(made -> now - made > purgesBind());
+        Object purged = purge.object() == null ? (Object) purge.group() : purge.object();
+        purges.merge(purged, seconds(purge.made()), Math::max);
+    }
+
+    /** When this view's object was last purged; far in the past if it was not lately. */
+    double purgedAt(View view) {
+        return Math.max(purges.getOrDefault(view.object, -1e9), purges.getOrDefault(view.group, -1e9));
+    }
+
+    /** The oldest copy that will do, at the source too: none from before a purge or past its fresh time. */
+    Duration oldest(View view, double now) {
+        double since = now - purgedAt(view);
+        double fresh = seconds(view.profile.fresh());
+        return since > purgesBind() || fresh > 0 && fresh < since ? null : span(Math.max(0, since));
+    }
+
+    /** The time in which all caches forget by themselves, twice over for fills that were under way. */
+    private double purgesBind() {
+        return 2 * seconds(all.settings.purgeDone());
+    }
+
+    /** None while over a tenth of the latest were turned away, else two; legs after a miss don't count. */
+    boolean furtherAllowed(View view, double now) {
+        long tries = view.trips.stream()
+                .filter(t -> t.outcome == null || t.outcome.result() != Outcome.Result.MISSED).count();
+        boolean overload = swamped.read(now) > 1 + 0.1 * ended.read(now);
+        return tries == 0 || tries <= (overload ? 0 : 2);
+    }
+
+    private static Trip firstThatMayHaveRun(View view) {
+        return view.trips.stream().filter(t -> t.outcome == null || !t.outcome.result().provesNotRun)
+                .findFirst().orElse(null);
+    }
+
+    /** No effect twice: a numbered view goes out again only in the first half of its window. */
+    static boolean mayRun(View view, double now) {
+        Trip ran = firstThatMayHaveRun(view);
+        return ran == null || view.profile.repeat() == Repeat.REISSUABLE
+                || view.profile.repeat() == Repeat.NUMBERED
+                && now - seconds(ran.sent) < 0.5 * seconds(view.profile.window());
+    }
+
+    static boolean inGroup(View view, Node node) {
+        Trip ran = firstThatMayHaveRun(view);
+        return ran == null || view.profile.group() == Profile.Group.ALL
+                || (view.profile.group() == Profile.Group.ZONE ? node.cache.zone == ran.cache.zone
+                : node.cache.cell == ran.cache.cell);
+    }
+
+    /** The final answer, at once; the advice is spread so that not all come back together. */
+    Answer giveUp(View view) {
+        boolean harmless = view.profile.repeat() == Repeat.REISSUABLE || firstThatMayHaveRun(view) == null
+                || view.profile.repeat() == Repeat.NUMBERED && view.profile.group() == Profile.Group.ALL;
+        Duration most = all.settings.longestComeBack();
+        return !harmless ? new Answer.Termination() : new Answer.Dismissal(most == null ? null
+                : span(seconds(most) * (0.5 + 0.5 * all.chance())));
+    }
+}
