--- a/cli/src/main/java/tamarindroute/Main.java
+++ b/cli/src/main/java/tamarindroute/Main.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import tamarindroute.gateway.Gateway;
+import tamarindroute.host.Companion;
 import tamarindroute.log.Log;
 import tamarindroute.policy.Brain;
 import tamarindroute.settings.MalformedSettingsException;
@@ -82,9 +83,14 @@
 
     /** Runs one of the two; 0 where it goes on in threads of its own or has ended in order. */
     public static int run(String subcommand) {
+        return run(subcommand, null);
+    }
+
+    /** The same with what lives beside a gateway, or null. */
+    public static int run(String subcommand, Companion companion) {
         try {
             if (subcommand.equals("serve")) {
-                Gateway.start(System.getenv("EDGE_CONFIG"), Brain::new);
+                Gateway.start(System.getenv("EDGE_CONFIG"), Brain::new, companion);
             } else {
                 new WireHost(Brain::new).serve(System.in, System.out);
             }
--- a/cli/src/main/java/tamarindroute/cli/Commands.java
+++ b/cli/src/main/java/tamarindroute/cli/Commands.java
@@ -13,6 +13,8 @@
 import tamarindroute.config.ServiceSettings;
 import tamarindroute.config.UnusableException;
 import tamarindroute.log.Log;
+import tamarindroute.members.Members;
+import tamarindroute.members.MembersSettings;
 import tamarindroute.nameserver.NameServer;
 import tamarindroute.policy.Brain;
 import tamarindroute.settings.MalformedSettingsException;
@@ -63,10 +65,14 @@
         @CommandLine.Mixin
         private Logging logging;
 
+        @Option(names = "--members", paramLabel = "FILE",
+                description = "know other gateways: settings in XML, see deploy/members.xml")
+        private Path members;
+
         @Override
-        public Integer call() {
+        public Integer call() throws IOException {
             logging.choose();
-            int code = Main.run("serve");
+            int code = Main.run("serve", members == null ? null : new Members(MembersSettings.read(members)));
             return code == 0 ? GOES_ON : code;
         }
     }
