--- a/members/src/test/java/tamarindroute/members/Town.java
+++ b/members/src/test/java/tamarindroute/members/Town.java
@@ -185,10 +185,10 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         for (Node node : nodes) {
-            node.leave();
-            node.datagrams.shutDown();
+            node.clock.handOver(node.endpoint::leave);
+            node.clock.handOver(node.datagrams::shutDown);
         }
         ways.forEach(Way::close);
     }
