--- a/cli/src/test/java/tamarindroute/ArchitectureTest.java
+++ b/cli/src/test/java/tamarindroute/ArchitectureTest.java
@@ -84,4 +84,17 @@
         classes().that().resideOutsideOfPackage("tamarindroute.log").should().onlyDependOnClassesThat()
                 .resideOutsideOfPackages("org.slf4j..", "ch.qos.logback..").check(PROGRAM);
     }
+
+    /** Members live beside a gateway, which knows nothing of them; only their wire form knows its library. */
+    @Test
+    void membersAreKnownToTheCommandLineAlone() {
+        noClasses().that().resideOutsideOfPackages("tamarindroute.members..", "tamarindroute.cli..").should()
+                .dependOnClassesThat().resideInAnyPackage("tamarindroute.members..", "com.google.protobuf..")
+                .check(PROGRAM);
+        noClasses().that().resideInAPackage("tamarindroute.members").should().dependOnClassesThat()
+                .resideInAnyPackage("com.google.protobuf..", "tamarindroute.members.wire.form..").check(PROGRAM);
+        noClasses().that().resideInAnyPackage("tamarindroute.membership..", "tamarindroute.members.wire..").should()
+                .dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.file..", "java.util.concurrent..",
+                "org.apache.mina..", "tamarindroute.host..", "tamarindroute.log..", "tamarindroute.net..").check(PROGRAM);
+    }
 }
