What one member's feed told, all know: news by number, each naming the event before it

A gateway whose feed is down missed drains that others knew. An event is taken in order only, and only where the one before it is the same here.

--- a/members/src/main/java/tamarindroute/members/Endpoint.java
+++ b/members/src/main/java/tamarindroute/members/Endpoint.java
@@ -37,6 +37,9 @@
         /** What another shares; it is a member's, new and whole, and no more is known of it. */
         default void facts(Member from, byte[] bytes) { }
 
+        /** What the feed told another; the same holds. */
+        default void news(Member from, Letter.News news) { }
+
         /** A message of the agreement; the same holds. */
         default void agreement(Member from, byte[] bytes) { }
     }
@@ -110,6 +113,9 @@
 
     /** Sends another kind of letter to a life; it may be lost. Longer than Envelopes.LARGEST less 150 bytes it can't be. */
     public void send(Member to, Letter.Body body) {
+        if (left) {
+            return;
+        }
         send(to.address(), Letter.of(membership.self(), to.birth(), body));
     }
 
@@ -131,6 +137,8 @@
         } else if (!former && (letter.toBirth() == 0 || letter.toBirth() == membership.self().birth())) {
             if (letter.body() instanceof Letter.Facts facts) {
                 listener.facts(letter.sender(), facts.bytes());
+            } else if (letter.body() instanceof Letter.News news) {
+                listener.news(letter.sender(), news);
             } else if (letter.body() instanceof Letter.Agreement agreement) {
                 listener.agreement(letter.sender(), agreement.bytes());
             }
--- a/members/src/main/java/tamarindroute/members/Members.java
+++ b/members/src/main/java/tamarindroute/members/Members.java
@@ -1,15 +1,22 @@
 package tamarindroute.members;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import tamarindroute.host.Companion;
 import tamarindroute.host.Instance;
+import tamarindroute.host.Roster;
+import tamarindroute.members.wire.Letter;
+import tamarindroute.membership.Member;
 import tamarindroute.net.Datagrams;
+import tamarindroute.protocol.MalformedException;
 
 /** A gateway's membership, as lives beside it on its owner's thread. */
-public final class Members implements Companion {
+public final class Members implements Companion, Endpoint.Listener, FeedNews.Others {
 
     private final MembersSettings settings;
     private Endpoint endpoint;
+    private FeedNews news;
 
     public Members(MembersSettings settings) {
         this.settings = settings;
@@ -17,9 +24,40 @@
 
     @Override
     public void started(Instance instance) throws IOException {
+        Roster roster = instance.roster();
+        news = new FeedNews(settings.name(), new FeedNews.Reader() {
+            @Override
+            public long last() {
+                return roster.last();
+            }
+
+            @Override
+            public boolean told(long number, String event) throws MalformedException {
+                return roster.told(number, event);
+            }
+        }, instance.clock(), this);
         endpoint = new Endpoint(instance.clock(), new Datagrams(instance.clock()), settings,
-                System.currentTimeMillis(), new Endpoint.Listener() { });
+                System.currentTimeMillis(), this);
         endpoint.start();
+        roster.whenRead(news::read);
+        news.start();
+    }
+
+    @Override
+    public void news(Member from, Letter.News told) {
+        news.taken(from, told);
+    }
+
+    @Override
+    public List<Member> alive() {
+        List<Member> others = new ArrayList<>(endpoint.alive());
+        others.remove(endpoint.self());
+        return others;
+    }
+
+    @Override
+    public void send(Member to, Letter.Body body) {
+        endpoint.send(to, body);
     }
 
     @Override
--- a/members/src/main/java/tamarindroute/members/wire/Envelopes.java
+++ b/members/src/main/java/tamarindroute/members/wire/Envelopes.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import tamarindroute.members.wire.form.Envelope;
+import tamarindroute.members.wire.form.Event;
 import tamarindroute.members.wire.form.Kind;
 import tamarindroute.members.wire.form.Life;
+import tamarindroute.members.wire.form.News;
 import tamarindroute.members.wire.form.Said;
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
@@ -49,6 +51,10 @@
             envelope.setFacts(ByteString.copyFrom(facts.bytes()));
         } else if (letter.body() instanceof Letter.Agreement agreement) {
             envelope.setAgreement(ByteString.copyFrom(agreement.bytes()));
+        } else if (letter.body() instanceof Letter.News news) {
+            envelope.setNews(News.newBuilder().setLast(news.last()).addAllEvents(news.events().stream()
+                    .map(one -> Event.newBuilder().setNumber(one.number()).setBefore((int) one.before())
+                            .setText(one.text()).build()).toList()));
         }
         byte[] bytes = envelope.build().toByteArray();
         if (bytes.length > LARGEST) {
@@ -113,10 +119,27 @@
             case MEMBERSHIP -> new Letter.Said(message(envelope.getMembership(), sender, toBirth));
             case FACTS -> new Letter.Facts(envelope.getFacts().toByteArray());
             case AGREEMENT -> new Letter.Agreement(envelope.getAgreement().toByteArray());
+            case NEWS -> news(envelope.getNews());
             case BODY_NOT_SET -> throw new MalformedException("no body that is known here");
         });
     }
 
+    private static Letter.News news(News news) throws MalformedException {
+        List<Letter.Event> events = new ArrayList<>();
+        long next = 0;
+        for (Event one : news.getEventsList()) {
+            if (one.getNumber() <= 0 || next > 0 && one.getNumber() != next) {
+                throw new MalformedException("events that are not in their order");
+            }
+            next = one.getNumber() + 1;
+            events.add(new Letter.Event(one.getNumber(), Integer.toUnsignedLong(one.getBefore()), one.getText()));
+        }
+        if (next > 0 && next - 1 > news.getLast()) {
+            throw new MalformedException("events past the last");
+        }
+        return new Letter.News(natural("number", news.getLast()), events);
+    }
+
     private static Message message(Said said, Member sender, long toBirth) throws MalformedException {
         if (said.getKind() == Kind.KIND_NONE || said.getKind() == Kind.UNRECOGNIZED) {
             throw new MalformedException("an unknown kind, " + said.getKindValue());
--- a/members/src/main/java/tamarindroute/members/wire/Letter.java
+++ b/members/src/main/java/tamarindroute/members/wire/Letter.java
@@ -1,6 +1,7 @@
 package tamarindroute.members.wire;
 
 import java.util.Arrays;
+import java.util.List;
 import tamarindroute.membership.Member;
 import tamarindroute.membership.Message;
 
@@ -14,7 +15,7 @@
 public record Letter(int lowest, int highest, Member sender, long toBirth, Body body) {
 
     /** What it carries; one kind a letter. */
-    public sealed interface Body permits Said, Facts, Agreement { }
+    public sealed interface Body permits Said, Facts, Agreement, News { }
 
     /** Who is there; its sender and the life it is meant for are the letter's. */
     public record Said(Message message) implements Body { }
@@ -45,6 +46,21 @@
         }
     }
 
+    /**
+     * What the control feed told.
+     *
+     * @param last the number of the last event that the sender knows
+     * @param events in the order of their numbers; the receiver may lack them
+     */
+    public record News(long last, List<Event> events) implements Body {
+        public News {
+            events = List.copyOf(events);
+        }
+    }
+
+    /** One event of the feed, as its JSON; before is the CRC-32 of the one that came before it. */
+    public record Event(long number, long before, String text) { }
+
     /** Of this program's own form levels. */
     public static Letter of(Member sender, long toBirth, Body body) {
         return new Letter(Envelopes.LOWEST, Envelopes.HIGHEST, sender, toBirth, body);
--- a/router/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/router/src/main/java/tamarindroute/gateway/Gateway.java
@@ -91,13 +91,6 @@
     }
 
     private void open() {
-        instance.known();
-        try {
-            instance.sockets().listen(config.listen(), connection ->
-                    warmUp.over() ? chain.takeIn(connection) : warmUp.door(connection, chain::takeIn));
-        } catch (IOException e) {
-            fail("cannot listen on " + config.listen() + ": " + e.getMessage());
-        }
         try {
             if (companion != null) {
                 companion.started(instance);
@@ -105,6 +98,13 @@
         } catch (IOException e) {
             fail(e.getMessage());
         }
+        instance.known();
+        try {
+            instance.sockets().listen(config.listen(), connection ->
+                    warmUp.over() ? chain.takeIn(connection) : warmUp.door(connection, chain::takeIn));
+        } catch (IOException e) {
+            fail("cannot listen on " + config.listen() + ": " + e.getMessage());
+        }
         instance.follow();
         warmUp.start();
     }
--- a/router/src/main/java/tamarindroute/host/Events.java
+++ b/router/src/main/java/tamarindroute/host/Events.java
@@ -86,6 +86,11 @@
         return newest;
     }
 
+    /** Whether it is this event and no other. */
+    boolean only(long number) {
+        return count == 1 && numbers[0] == number && newest == number;
+    }
+
     private void number(JsonReader in) throws IOException {
         Long number = null;
         in.beginObject();
--- a/router/src/main/java/tamarindroute/host/Roster.java
+++ b/router/src/main/java/tamarindroute/host/Roster.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.zip.CRC32;
 import tamarindroute.decision.Cache;
 import tamarindroute.decision.Decisions;
@@ -34,6 +35,9 @@
         CacheLine make(String id, InetSocketAddress address);
     }
 
+    /** The feed tells some gateways later than others, by seconds; past this it counts anew and is not late. */
+    private static final Duration LATE = Duration.ofSeconds(10);
+
     private final List<Decisions> modules;
     private final Clock clock;
     private final Lines lines;
@@ -44,6 +48,10 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<Cache, Entry> entryOf = new IdentityHashMap<>();
     private long last;
+    /** The last that the feed itself told, and when others told one past it; null for never. */
+    private long fed;
+    private Duration toldAt;
+    private Consumer<String> whenRead = text -> { };
     private boolean listed;
     private int gaps;
     private Runnable whenListed = () -> { };
@@ -132,13 +140,35 @@
     @Override
     public void read(String text) throws MalformedException {
         Events events = new Events(text);
-        if (events.newest() < last) {
+        boolean late = toldAt != null && events.newest() >= fed && Steady.now().minus(toldAt).compareTo(LATE) < 0;
+        if (events.newest() < last && !late) {
             // The feed counts anew, or an earlier answer was nonsense: all is read again from the first.
             last = 0;
             throw new MalformedException("the numbers went back");
         }
         events.each(new Taking());
+        fed = Math.min(last, events.newest());
         heardAt = clock.now();
+        whenRead.accept(text);
+    }
+
+    /** Told each text of the feed that was read whole, after it was. */
+    public void whenRead(Consumer<String> task) {
+        whenRead = task;
+    }
+
+    /** Another gateway's feed told this event: taken if it is the next one. The feed itself is no fresher by it. */
+    public boolean told(long number, String event) throws MalformedException {
+        if (number != last + 1) {
+            return false;
+        }
+        Events events = new Events("{\"n\":" + number + ",\"events\":[" + event + "]}");
+        if (!events.only(number)) {
+            throw new MalformedException("not the event " + number + " alone");
+        }
+        events.each(new Taking());
+        toldAt = Steady.now();
+        return true;
     }
 
     /** Takes each event once. What cannot be read is passed over, lest one bad event hide every later drain. */
