Membership: a stop before one is in keeps nobody at the door

Three processes started at once on a busy machine were each stopped for 300 to 400 ms by their own start, held themselves for paused, and so let nobody in: none of them ever got in (3 of 12 starts). A pause counts once one is in, as before that nothing is held that could be old. A test with three that were all stopped; without the fix none is in after 5 s.

--- a/membership/src/main/java/tamarindroute/membership/SelfWatch.java
+++ b/membership/src/main/java/tamarindroute/membership/SelfWatch.java
@@ -80,8 +80,11 @@
         return own.settings.guards().pauses() && late(now) > own.period / PAUSED_AFTER;
     }
 
+    /** Who is not in yet holds nothing that could be old: its stop must not keep others at the door, nor theirs it. */
     void didNotRun(long span) {
-        pausedFor = Math.max(pausedFor, span);
+        if (joined) {
+            pausedFor = Math.max(pausedFor, span);
+        }
     }
 
     void answered() {
