--- a/membership/src/main/java/tamarindroute/membership/Membership.java
+++ b/membership/src/main/java/tamarindroute/membership/Membership.java
@@ -20,8 +20,6 @@
     private static final int FANOUT = 3;
     /** Whoever goes says so to so many; they pass it on. */
     private static final int FAREWELLS = 8;
-    /** One of those away is asked about every so many periods, as they may be there again. */
-    private static final int AWAY_EVERY = 2;
 
     private final Own own;
     private final Sends sends;
@@ -180,11 +178,10 @@
         probe(own.roll.next(own.draws));
         probe(own.roll.successor((int) Draws.hash(own.self), own.self.address()));
         probe(watch.teller() == null ? null : own.roll.find(watch.teller()));
-        if (own.draws.below(AWAY_EVERY) == 0) {
-            Entry away = own.roll.someAway(own.draws);
-            if (away != null) {
-                sends.send(Message.Kind.PROBE, away.member, 0, own.self);
-            }
+        Entry away = own.roll.someAway(own.draws);
+        if (away != null) {
+            // It may be there again, or may hear this one and not be heard: then it learns so by this.
+            sends.send(Message.Kind.PROBE, away.member, 0, own.self);
         }
         suspicion.drawn().forEach(prober::probe);
         exchange.period();
--- a/membership/src/main/java/tamarindroute/membership/Suspicion.java
+++ b/membership/src/main/java/tamarindroute/membership/Suspicion.java
@@ -62,7 +62,7 @@
      * whoever was stopped or comes late need not wait again. One's own report counts with them.
      */
     void heldAwayBy(Entry entry, Address teller) {
-        if (entry.standing != Standing.SUSPECT || !watch.at(own.now).inTouch()) {
+        if (entry.standing != Standing.SUSPECT) {
             return;
         }
         if (entry.tellers == null) {
@@ -71,10 +71,11 @@
         if (!entry.tellers.contains(teller) && entry.tellers.size() < MOST_REPORTERS) {
             entry.tellers.add(teller);
         }
-        int count = entry.tellers.size() + (entry.reporters.contains(own.self.address()) ? 1 : 0);
-        if (count >= required()) {
-            cut(entry);
-        }
+    }
+
+    private boolean othersCut(Entry entry, int required) {
+        int own = entry.reporters.contains(this.own.self.address()) ? 1 : 0;
+        return entry.tellers != null && entry.tellers.size() + own >= required;
     }
 
     /** Cuts all that are ripe at once, if none is about to be. */
@@ -89,9 +90,10 @@
         for (Entry entry : own.roll.suspects()) {
             int count = reports(entry);
             long over = own.now - entry.since - patience(count, required);
-            if (count >= required && over >= 0) {
+            boolean cutElsewhere = othersCut(entry, required);
+            if (count >= required && over >= 0 || cutElsewhere) {
                 ripe.add(entry);
-                overdue |= over >= BATCH * own.period;
+                overdue |= cutElsewhere || over >= BATCH * own.period;
             } else {
                 waits |= count >= own.settings.low() && count < required && over < BATCH * own.period;
             }
@@ -136,7 +138,6 @@
     void restart() {
         for (Entry entry : own.roll.suspects()) {
             entry.since = own.now;
-            entry.tellers = null;
         }
     }
 
