--- /dev/null
+++ b/rig/play.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Plays the schedules named, from any folder: builds what has changed, then starts the program as it would in service.
+# It must never do more.
+here=$(cd "$(dirname "$0")/.." && pwd) || exit 1
+files=
+for file in "$@"; do
+    files="$files $(realpath "$file")" || exit 1
+done
+cd "$here" && mvn -q -DskipTests package && exec java -cp rig/target/test-classes tamarindroute.rig.Schedules $files
