--- a/rig/src/test/java/tamarindroute/rig/check/Checkers.java
+++ b/rig/src/test/java/tamarindroute/rig/check/Checkers.java
@@ -17,14 +17,19 @@
     private static final int TOLD = 5;
     private static final int AROUND = 20;
 
-    private static final Map<String, Checker> ALL = new TreeMap<>(Map.of(
-            "views-kept", GatewayChecks::viewsKept,
-            "effects-once", GatewayChecks::effectsOnce,
-            "drains-kept", GatewayChecks::drainsKept,
-            "cold-share-kept", GatewayChecks::coldShareKept,
-            "none-ends", ProcessChecks::noneEnds,
-            "says", ProcessChecks::says,
-            "silent", ProcessChecks::silent));
+    private static final Map<String, Checker> ALL = new TreeMap<>(Map.ofEntries(
+            Map.entry("views-kept", GatewayChecks::viewsKept),
+            Map.entry("effects-once", GatewayChecks::effectsOnce),
+            Map.entry("drains-kept", GatewayChecks::drainsKept),
+            Map.entry("cold-share-kept", GatewayChecks::coldShareKept),
+            Map.entry("no-false-away", MemberChecks::noFalseAway),
+            Map.entry("killed-known", MemberChecks::killedKnown),
+            Map.entry("cut-off-told", MemberChecks::cutOffTold),
+            Map.entry("lives-in-order", MemberChecks::livesInOrder),
+            Map.entry("all-agree", MemberChecks::allAgree),
+            Map.entry("none-ends", ProcessChecks::noneEnds),
+            Map.entry("says", ProcessChecks::says),
+            Map.entry("silent", ProcessChecks::silent)));
 
     private Checkers() { }
 
--- a/rig/src/test/java/tamarindroute/rig/play/Actor.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Actor.java
@@ -28,7 +28,8 @@
     private final ScheduledExecutorService timer;
     private Process process;
     private int life;
-    private volatile boolean meant;
+    /** The one whose end is the rig's own doing. */
+    private volatile Process ending;
 
     Actor(String name, int port, Maker maker, Journal journal, Signals signals, ScheduledExecutorService timer) {
         this.name = name;
@@ -43,12 +44,12 @@
         journal.add("rig", "process " + name + " " + text);
     }
 
-    void start(Duration clock) throws IOException {
-        if (process != null && process.isAlive()) {
+    /** One that leaves may take its time; one that simply runs is not started twice. */
+    void start(Duration clock) throws IOException, InterruptedException {
+        if (process != null && (ending != process || !process.waitFor(10, TimeUnit.SECONDS))) {
             throw new IOException("process " + name + " still runs");
         }
         life++;
-        meant = false;
         Process started = maker.make(clock).redirectErrorStream(true).start();
         process = started;
         note("started life=" + life + " pid=" + started.pid() + " address=127.0.0.1:" + port + " clock=" + clock);
@@ -62,9 +63,9 @@
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 journal.add(name, line);
             }
-            note("ended code=" + of.waitFor() + " meant=" + meant);
+            note("ended code=" + of.waitFor() + " meant=" + (ending == of));
         } catch (IOException | InterruptedException e) {
-            note("ended meant=" + meant);
+            note("ended meant=" + (ending == of));
         }
     }
 
@@ -73,13 +74,13 @@
     }
 
     void kill() throws Exception {
-        meant = true;
+        ending = process;
         note("killed");
         process.destroyForcibly().waitFor();
     }
 
     void leave() throws IOException {
-        meant = true;
+        ending = process;
         note("leaves");
         signals.send("TERM", process);
     }
@@ -121,7 +122,7 @@
     /** The end of the play: whatever it does, it ends now. */
     void end() throws InterruptedException {
         if (process != null) {
-            meant = true;
+            ending = process;
             process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
         }
     }
