--- a/rig/src/test/java/tamarindroute/rig/play/Commands.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Commands.java
@@ -4,9 +4,12 @@
 import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -18,12 +21,15 @@
 /** How a process of each kind is started, and by what it shows that it is ready. */
 final class Commands {
 
+    /** Beyond any clock that a schedule sets back. */
+    private static final Duration AHEAD = Duration.ofDays(1);
+
     private final Schedule schedule;
     private final Path folder;
     private final Map<String, Integer> ports;
     private final Town town;
     /** The proxies' ports by the directed way, as "1 2". */
-    private final Map<String, Integer> ways = new java.util.HashMap<>();
+    private final Map<String, Integer> ways = new HashMap<>();
 
     Commands(Schedule schedule, Path folder, Map<String, Integer> ports, Town town, Proxies proxies)
             throws IOException {
@@ -46,7 +52,7 @@
     ProcessBuilder make(String name, Duration clock) throws IOException {
         return switch (schedule.kind) {
             case GATEWAYS -> gateway(name);
-            case MEMBERS -> throw new IOException("members can't be started yet");
+            case MEMBERS -> member(name, clock);
             case STAND_INS -> standIn(name);
         };
     }
@@ -57,6 +63,54 @@
         return builder;
     }
 
+    private ProcessBuilder member(String name, Duration clock) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("java", "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-cp", System.getProperty("java.class.path"), MemberProgram.class.getName(), settings(name, clock).toString());
+        builder.environment().put("EDGE_CONFIG", town.configure(name, ports.get(name), folder).toAbsolutePath().toString());
+        return builder;
+    }
+
+    private String address(String name) {
+        return "127.0.0.1:" + ports.get(name);
+    }
+
+    /**
+     * A member's settings: every other is reached over its proxy. Its wall clock is the rig's by the state file, whose birth,
+     * a day ahead of the machine's clock, the program goes past: so a start may also be one with a clock set back.
+     */
+    private Path settings(String name, Duration clock) throws IOException {
+        StringBuilder text = new StringBuilder("<members xmlns=\"urn:tamarindroute:members:1\" listen=\"" + address(name)
+                + "\" state=\"birth-" + name + "\">\n<key id=\"1\" file=\"members.key\"/>\n");
+        for (String seed : words("seeds", schedule.numbers())) {
+            text.append("<seed address=\"").append(address(seed)).append("\"/>\n");
+        }
+        for (String voter : words("voters", List.of())) {
+            text.append("<voter address=\"").append(address(voter)).append("\"/>\n");
+        }
+        for (String other : ports.keySet()) {
+            if (!other.equals(name)) {
+                text.append("<way to=\"").append(address(other)).append("\" by=\"127.0.0.1:")
+                        .append(ways.get(name + " " + other)).append("\"/>\n");
+            }
+        }
+        List<String> timing = words("timing", List.of("PT0.2S", "PT1S"));
+        text.append("<timing probe=\"").append(timing.get(0)).append("\" pause=\"").append(timing.get(1))
+                .append("\"/>\n</members>\n");
+        Path key = folder.resolve("members.key");
+        if (!Files.exists(key)) {
+            Files.createFile(key, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            Files.writeString(key, "0123456789abcdef".repeat(4) + "\n");
+        }
+        Files.writeString(folder.resolve("birth-" + name), System.currentTimeMillis() + AHEAD.plus(clock).toMillis() + "\n");
+        return Files.writeString(folder.resolve("members-" + name + ".xml"), text.toString()).toAbsolutePath();
+    }
+
+    /** The words behind a setting's name, or what stands in for them. */
+    private List<String> words(String setting, List<String> otherwise) {
+        return schedule.settings.stream().filter(words -> words.get(0).equals(setting)).findFirst()
+                .map(words -> words.subList(1, words.size())).orElse(otherwise);
+    }
+
     private ProcessBuilder standIn(String name) {
         List<String> words = new ArrayList<>(List.of("java", "-Xmx32m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                 "-cp", classes(), StandInMember.class.getName(), name, String.valueOf(ports.get(name))));
@@ -73,6 +127,18 @@
                 .toString())).toString();
     }
 
+    /** Members are ready for a play once each has counted in every other. */
+    void awaitMet(Journal journal, Duration longest) throws IOException, InterruptedException {
+        for (String one : schedule.kind == Schedule.Kind.MEMBERS ? ports.keySet() : List.<String>of()) {
+            for (String other : ports.keySet()) {
+                if (!one.equals(other) && !journal.await(line -> line.by(one) && line.text().endsWith(" alive")
+                        && line.text().contains(" " + address(other) + "#"), longest)) {
+                    throw new IOException("member " + one + " has not met " + other);
+                }
+            }
+        }
+    }
+
     /** A gateway is ready once it says GREEN, a stand-in once it prints so. */
     void awaitReady(Actor actor, Journal journal, Duration longest) throws IOException, InterruptedException {
         if (schedule.kind == Schedule.Kind.STAND_INS) {
--- a/rig/src/test/java/tamarindroute/rig/play/Play.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Play.java
@@ -86,6 +86,7 @@
         for (Actor actor : actors.values()) {
             commands.awaitReady(actor, journal, START);
         }
+        commands.awaitMet(journal, START);
         Duration start = journal.add("rig", "the play begins");
         if (schedule.clients > 0) {
             Map<String, InetSocketAddress> gateways = new LinkedHashMap<>();
