--- /dev/null
+++ b/policy/src/main/java/tamarindroute/policy/Brain.java
@@ -0,0 +1,101 @@
+package tamarindroute.policy;
+
+import static tamarindroute.policy.Caches.seconds;
+
+import java.time.Duration;
+import java.util.*;
+import tamarindroute.decision.*;
+
+/** All decisions of one gateway. The host makes one Brain a gateway from its settings and calls it by the
+ *  interface Decisions, where the three questions, the tellings and their plain values are defined. Owns the
+ *  order in which the parts of this package are asked. The ordinary path is the collaborative caching of
+ *  docs/design.md: the ratio test makes an object hot; hot objects are spread over the location's edges, the
+ *  others keep one hashed cache. */
+public final class Brain implements Decisions {
+
+    private final Caches all;
+    private final Judging judging;
+    private final Placing placing;
+
+    public Brain(Settings settings) {
+        all = new Caches(settings);
+        judging = new Judging(all, new Popularity(), new Rules(all));
+        placing = new Placing(all, judging.popularity(), judging.rules(), judging);
+    }
+
+    @Override
+    public void purged(Purge purge, Duration now) {
+        judging.rules().purged(purge, seconds(now));
+    }
+
+    @Override
+    public void listed(List<Cache> list, Duration now) {
+        all.listed(list, seconds(now));
+    }
+
+    @Override
+    public void loaded(Cache cache, Load load, Duration now) {
+        Optional.ofNullable(all.nodes.get(cache)).ifPresent(n -> n.told.toward(load.busy(), 1, seconds(now)));
+    }
+
+    @Override
+    public Regard regard(Cache cache, Duration at) {
+        Node node = all.nodes.get(cache);
+        double now = seconds(at);
+        return node == null ? null : new Regard(node.ready(), node.cold(now), node.barred,
+                node.doubt.read(now), node.cold(now) ? 0.7 * node.rate(now) : Double.POSITIVE_INFINITY,
+                node.told.read(now), cache.weight);
+    }
+
+    @Override
+    public List<Cache> homes(long object) {
+        return Caches.ranked(all.edges, Caches.stir(object * 1000003)).stream().map(n -> n.cache).toList();
+    }
+
+    /** Probes are told as views' outcomes are: silence speaks half as loud as a refusal. */
+    @Override
+    public void probed(Cache cache, Outcome.Result result, Duration now) {
+        double weight = switch (result) {
+            case HONOURED -> -1;
+            case ERRED, BROKEN, UNREACHED -> 1;
+            case TIMED_OUT -> 0.5;
+            default -> 0;
+        };
+        Optional.ofNullable(all.nodes.get(cache)).filter(n -> weight != 0)
+                .ifPresent(n -> n.judge(weight, seconds(now)));
+    }
+
+    @Override
+    public Answer place(View view, Duration at) {
+        double now = seconds(at);
+        all.asking = view;
+        if (view.trips.isEmpty()) {
+            all.sendingTime(view.profile).toward(all.work(view), 0.02, now);
+            if (view.profile.kept()) {
+                judging.popularity().item(view, now).count++;
+            }
+            return placing.next(view, now);
+        }
+        return view.trips.stream().filter(t -> t.outcome == null && t.due != null && t.due.compareTo(at) <= 0)
+                .findFirst().map(late -> judging.overdue(view, late, now, () -> placing.next(view, now)))
+                .orElse(Judging.NOT_YET);
+    }
+
+    @Override
+    public Duration patience(View view, Duration now) {
+        return view.trips.stream().filter(t -> t.outcome == null && t.due != null && t.due.compareTo(now) > 0)
+                .map(t -> t.due.minus(now)).findFirst().orElse(null);
+    }
+
+    @Override
+    public Answer after(View view, Trip trip, Duration now) {
+        all.asking = null;
+        judging.note(view, trip, seconds(now));
+        all.asking = view;
+        Trip out = view.trips.stream().filter(t -> t.outcome == null).findFirst().orElse(null);
+        if (out != null && trip.outcome.closed() && all.settings.recalls()) {
+            return new Answer.Recall(out);
+        }
+        return out != null || trip.outcome.closed() ? Judging.NOT_YET : placing.next(view, seconds(now));
+    }
+}
