--- a/rig/src/test/java/tamarindroute/rig/journal/Journal.java
+++ b/rig/src/test/java/tamarindroute/rig/journal/Journal.java
@@ -55,6 +55,16 @@
         }
     }
 
+    /** The last line of someone's that holds these words; empty where there is none. */
+    public synchronized String last(String who, String words) {
+        for (int i = lines.size() - 1; i >= 0; i--) {
+            if (lines.get(i).by(who) && lines.get(i).text().contains(words)) {
+                return lines.get(i).text();
+            }
+        }
+        return "";
+    }
+
     public void write(Path file) throws IOException {
         Files.write(file, (Iterable<String>) lines().stream().map(Line::toString)::iterator);
     }
