--- a/rig/src/test/java/tamarindroute/rig/play/Commands.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Commands.java
@@ -10,8 +10,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import tamarindroute.example.ToyServer;
 import tamarindroute.rig.journal.Journal;
@@ -31,6 +33,8 @@
     /** The proxies' ports by the directed way, as "1 2". */
     private final Map<String, Integer> ways = new HashMap<>();
 
+    private final Set<String> begun = new HashSet<>();
+
     Commands(Schedule schedule, Path folder, Map<String, Integer> ports, Town town, Proxies proxies)
             throws IOException {
         this.schedule = schedule;
@@ -81,7 +85,10 @@
     private Path settings(String name, Duration clock) throws IOException {
         StringBuilder text = new StringBuilder("<members xmlns=\"urn:tamarindroute:members:1\" listen=\"" + address(name)
                 + "\" state=\"birth-" + name + "\">\n<key id=\"1\" file=\"members.key\"/>\n");
-        for (String seed : words("seeds", List.of("1"))) {
+        List<String> seeds = words("seeds", List.of("1"));
+        // The first of the seeds begins alone, and the others find it: else all wait for one another at first.
+        boolean founds = begun.add(name) && seeds.indexOf(name) == 0;
+        for (String seed : founds ? List.of(name) : seeds) {
             text.append("<seed address=\"").append(address(seed)).append("\"/>\n");
         }
         for (String voter : words("voters", List.of())) {
