--- a/rig/src/test/java/tamarindroute/rig/play/Commands.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Commands.java
@@ -85,9 +85,10 @@
     private Path settings(String name, Duration clock) throws IOException {
         StringBuilder text = new StringBuilder("<members xmlns=\"urn:tamarindroute:members:1\" listen=\"" + address(name)
                 + "\" state=\"birth-" + name + "\">\n<key id=\"1\" file=\"members.key\"/>\n");
-        List<String> seeds = words("seeds", List.of("1"));
+        List<String> seeds = new ArrayList<>(words("seeds", List.of("1")));
+        boolean together = seeds.remove("together");
         // The first of the seeds begins alone, and the others find it: else all wait for one another at first.
-        boolean founds = begun.add(name) && seeds.indexOf(name) == 0;
+        boolean founds = begun.add(name) && seeds.indexOf(name) == 0 && !together;
         for (String seed : founds ? List.of(name) : seeds) {
             text.append("<seed address=\"").append(address(seed)).append("\"/>\n");
         }
