--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -51,6 +51,11 @@
     private static final int PENDING_MOST = 256;
     /** A proposal or a reading that has heard nothing for so long is told so: two changes of the leader. */
     private static final Duration WAIT_MOST = Duration.ofSeconds(10);
+    /**
+     * Without a leader for so long, the library is begun anew from the store, as after a crash. Its 0.7 never stands for
+     * election again once a trial vote was overtaken by the leader's return: two such voters were leaderless for good.
+     */
+    private static final Duration STUCK = Duration.ofSeconds(10);
     private static final Duration TICK = Duration.ofSeconds(HEARTBEAT_SECONDS);
 
     private final Owner owner;
@@ -64,10 +69,16 @@
     private final Consumer<State> changed;
     private final QueryPolicy reading;
     private State state;
+    private final Duration begun;
     private boolean closed;
     private boolean telling;
     private Optional<String> failure = Optional.empty();
 
+    /** In the place of one that was stuck: operators hear of one loss of the majority, not of many. */
+    void after(State before) {
+        state = before;
+    }
+
     /** Goes on where the store ends, or begins with these founders. */
     RaftAgreement(Owner owner, Post post, Kept kept, Member fresh, List<Member> founders, Consumer<State> changed,
                   QueryPolicy reading) throws IOException {
@@ -79,6 +90,7 @@
         this.changed = changed;
         this.reading = reading;
         this.self = kept.self().orElse(fresh);
+        this.begun = owner.now();
         this.state = new State(false, Optional.empty(), 0, List.of(), false, Optional.of(owner.now()));
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(group).setConfig(config())
                 .setTransport(new Way()).setExecutor(new OwnerExecutor(owner, () -> !ended(), this::broken)).setStateMachine(machine).setStore(kept)
@@ -275,6 +287,19 @@
                 || node != null && node.getStatus() == RaftNodeStatus.TERMINATED;
     }
 
+    /** Nobody leads, and this node has had its time to find one. */
+    boolean stuck() {
+        Duration since = state.noMajoritySince().orElse(owner.now());
+        return !ended() && !state.leads() && owner.now().compareTo(since.plus(STUCK)) >= 0
+                && owner.now().compareTo(begun.plus(STUCK)) >= 0;
+    }
+
+    /** Gives the store back; nothing is said from here on. What was proposed here ends as unknown. */
+    State leave() {
+        closed = true;
+        return state;
+    }
+
     /** Nothing is known of what a step that failed has left behind, so none comes after it. */
     private void broken(RuntimeException thrown) {
         failure = Optional.of(thrown.toString());
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
@@ -38,6 +38,8 @@
     private final Duration started;
     private Founding founding;
     private RaftAgreement running;
+    /** As far as was known when the library was begun anew; it learns again what is agreed only from a leader. */
+    private View known = View.first(0);
     private boolean replacing;
     private boolean closed;
     private Optional<String> unfounded = Optional.empty();
@@ -83,11 +85,27 @@
         running = new RaftAgreement(owner, post, kept, founding.self(), founding.founders().get(), changed, reading);
     }
 
+    /** The library anew, from the store. */
+    private void begin() {
+        known = view();
+        State before = running.leave();
+        try {
+            run();
+            running.after(before);
+        } catch (IOException unwritten) {
+            unfounded = Optional.of(unwritten.toString());
+            close();
+        }
+    }
+
     private void tick() {
         if (closed) {
             return;
         }
         owner.schedule(this::tick, OFFER_EVERY);
+        if (running != null && running.stuck()) {
+            begin();
+        }
         if (running == null || !running.ended() && !running.state().voters().contains(self())) {
             founding.told().stream().filter(one -> !one.equals(self().address())).forEach(this::offer);
         }
@@ -192,7 +210,7 @@
 
     @Override
     public View view() {
-        return running == null ? View.first(0) : running.view();
+        return running == null || running.view().number() < known.number() ? known : running.view();
     }
 
     @Override
--- a/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
@@ -322,6 +322,21 @@
         }
     }
 
+    /** Seed 7 left two voters without a leader for good, see RaftAgreement's STUCK. */
+    @Test
+    void afterLostMessagesTheOthersFindALeaderAgain() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, 3);
+            world.awaitLeader();
+            world.loss = 20;
+            world.node(3).hold(world.told());
+            world.run(Duration.ofSeconds(20 + world.chance(5)));
+            world.awaitLeader().kill();
+            assertThat(world.until(Duration.ofSeconds(40), () -> world.leader().isPresent())).as("seed " + seed).isTrue();
+            assertThat(world.breaches).isEmpty();
+        }
+    }
+
     @Test
     void snapshotsBringOneThatWasLongAway() {
         World world = new World(6, 3);
