--- a/agreement/src/main/java/tamarindroute/agreement/Answer.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Answer.java
@@ -10,7 +10,8 @@
  * What a voter says to whoever asks for the view.
  *
  * @param number of the asking
- * @param led whether the voter leads, as most voters told it after it was asked; else nothing else but the leader counts
+ * @param led whether the voter leads, as most voters told it after it was asked; else nothing else but the leader
+ *     counts
  * @param leader whom to ask instead, as far as known
  * @param lease for how long the view may be held, from the asking
  * @param whole the view; empty where the commands lead there from what the asker holds
--- a/agreement/src/main/java/tamarindroute/agreement/Command.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Command.java
@@ -4,7 +4,10 @@
 
 import tamarindroute.membership.Member;
 
-/** What may be proposed. Each says what it was derived from, so that of two that were derived from the same one wins. */
+/**
+ * What may be proposed. Each says what it was derived from, so that of two that were derived from the same one
+ * wins.
+ */
 public sealed interface Command {
 
     /** The view's number, or the entry's, that it was derived from. */
--- a/agreement/src/main/java/tamarindroute/agreement/Entry.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Entry.java
@@ -2,7 +2,10 @@
 
 import java.util.Arrays;
 
-/** What a subsystem has agreed under a key: opaque here, but for its type and the view's number that last changed it. */
+/**
+ * What a subsystem has agreed under a key: opaque here, but for its type and the view's number that last
+ * changed it.
+ */
 public final class Entry {
 
     private final String type;
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Post.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Post.java
@@ -6,6 +6,9 @@
 @FunctionalInterface
 public interface Post {
 
-    /** At most {@link tamarindroute.agreement.wire.Words#MESSAGE_MOST} bytes; returns at once, and tells nothing back. */
+    /**
+     * At most {@link tamarindroute.agreement.wire.Words#MESSAGE_MOST} bytes; returns at once, and tells nothing
+     * back.
+     */
     void send(Address to, byte[] message);
 }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -52,7 +52,8 @@
     /** A proposal or a reading that has heard nothing for so long is told so: two changes of the leader. */
     private static final Duration WAIT_MOST = Duration.ofSeconds(10);
     /**
-     * Without a leader for so long, the library is begun anew from the store, as after a crash. Its 0.7 never stands for
+     * Without a leader for so long, the library is begun anew from the store, as after a crash. Its 0.7 never stands
+     * for
      * election again once a trial vote was overtaken by the leader's return: two such voters were leaderless for good.
      */
     private static final Duration STUCK = Duration.ofSeconds(10);
@@ -93,7 +94,8 @@
         this.begun = owner.now();
         this.state = new State(false, Optional.empty(), 0, List.of(), false, Optional.of(owner.now()));
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(group).setConfig(config())
-                .setTransport(new Way()).setExecutor(new OwnerExecutor(owner, () -> !ended(), this::broken)).setStateMachine(machine).setStore(kept)
+                .setTransport(new Way()).setExecutor(new OwnerExecutor(owner, () -> !ended(), this::broken))
+                .setStateMachine(machine).setStore(kept)
                 .setClock(new OwnerClock(owner)).setRandom(new Chance(self.hashCode())).setModelFactory(Wire.MODELS);
         if (kept.runs()) {
             builder.setRestoredState(kept.restored());
@@ -112,7 +114,8 @@
     private static RaftConfig config() {
         return RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECONDS)
                 .setLeaderHeartbeatTimeoutSecs(LOST_SECONDS).setLeaderElectionTimeoutMillis(ELECTION_MILLIS)
-                .setAppendEntriesRequestBatchSize(Messages.ENTRIES_MOST - 1).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
+                .setAppendEntriesRequestBatchSize(Messages.ENTRIES_MOST - 1)
+                .setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
                 .setMaxPendingLogEntryCount(PENDING_MOST).setTransferSnapshotsFromFollowersEnabled(false)
                 .setRaftNodeReportPublishPeriodSecs(HEARTBEAT_SECONDS).build();
     }
--- a/agreement/src/main/java/tamarindroute/agreement/store/RecordLog.java
+++ b/agreement/src/main/java/tamarindroute/agreement/store/RecordLog.java
@@ -9,7 +9,8 @@
 import java.util.zip.CRC32;
 
 /**
- * Owns the form of the file: records of length, checksum of the length, checksum of the body, body, end mark. The last record may be
+ * Owns the form of the file: records of length, checksum of the length, checksum of the body, body, end mark. The last
+ * record may be
  * torn by a crash: cut short, or with nothing but zeros from some place on to the end. Nothing of it was forced, so
  * nobody has relied on it, and it is cut off. Any other damage refuses to start: whoever goes on from there might have
  * forgotten a word it gave.
@@ -18,7 +19,10 @@
 
     /** Length, its checksum, the body's checksum. */
     private static final int HEADER = 12;
-    /** Ends each record with a byte that is not zero, also after any one flipped bit: zeros there were never written. */
+    /**
+     * Ends each record with a byte that is not zero, also after any one flipped bit: zeros there were never
+     * written.
+     */
     private static final byte END = 0x5a;
     /** Longest body: the longest command, and what stands around it. */
     public static final int BODY_MOST = 1024 * 1024;
--- a/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
+++ b/agreement/src/main/java/tamarindroute/agreement/wire/Words.java
@@ -221,7 +221,8 @@
             throw new Unbelievable("view");
         }
         return new View(words.getGroup(), words.getNumber(), words.getRemoved(),
-                from(words.getMembersList(), Ledger.MEMBERS_MOST), from(words.getVotersList(), Ledger.VOTERS_MOST), entries);
+                from(words.getMembersList(), Ledger.MEMBERS_MOST), from(words.getVotersList(), Ledger.VOTERS_MOST),
+                entries);
     }
 
     private static void most(int count, int most) {
--- a/agreement/src/test/java/tamarindroute/agreement/FoundingTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/FoundingTest.java
@@ -26,7 +26,8 @@
     private record Sent(int to, Founding.Offer offer) { }
 
     /**
-     * Three voters whose offers are lost, late, doubled and out of order, and that lose their memory at any time: of all
+     * Three voters whose offers are lost, late, doubled and out of order, and that lose their memory at any time: of
+     * all
      * the groups that ever run, no two have both most of their founders with the memory that they founded with.
      */
     @Property(seed = "32", tries = 2_000)
--- a/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
@@ -197,7 +197,10 @@
         assertThat(world.breaches).isEmpty();
     }
 
-    /** It runs outside the group, which has not yet taken it in; what was meant for its former self it does not answer. */
+    /**
+     * It runs outside the group, which has not yet taken it in; what was meant for its former self it does not
+     * answer.
+     */
     @Test
     void whatIsMeantForAFormerSelfIsNotAnswered() {
         World world = new World(12, 3);
@@ -332,7 +335,8 @@
             world.node(3).hold(world.told());
             world.run(Duration.ofSeconds(20 + world.chance(5)));
             world.awaitLeader().kill();
-            assertThat(world.until(Duration.ofSeconds(40), () -> world.leader().isPresent())).as("seed " + seed).isTrue();
+            assertThat(world.until(Duration.ofSeconds(40), () -> world.leader().isPresent()))
+                    .as("seed " + seed).isTrue();
             assertThat(world.breaches).isEmpty();
         }
     }
--- a/agreement/src/test/java/tamarindroute/agreement/raft/Linear.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/Linear.java
@@ -5,7 +5,8 @@
 import java.util.Set;
 
 /**
- * Judges a history of one register that is read and changed from one value to another: is there an order of all that was
+ * Judges a history of one register that is read and changed from one value to another: is there an order of all that
+ * was
  * told done, each between its call and its end, that a single register could have played? What was never answered may
  * have been done at any time after its call, or never. Up to 63 operations.
  */
--- a/agreement/src/test/java/tamarindroute/agreement/raft/Measure.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/Measure.java
@@ -46,7 +46,10 @@
         }
     }
 
-    /** In virtual time: from the leader's death until a command is agreed under another, and whether a holder notices. */
+    /**
+     * In virtual time: from the leader's death until a command is agreed under another, and whether a holder
+     * notices.
+     */
     private static void failover(int voters, int loss) {
         long[] spans = new long[40];
         int outOfTouch = 0;
--- a/agreement/src/test/java/tamarindroute/agreement/raft/World.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/World.java
@@ -27,7 +27,10 @@
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
 
-/** Voters and members in virtual time: one order of events for a seed, ways that lose and are cut, clocks that differ. */
+/**
+ * Voters and members in virtual time: one order of events for a seed, ways that lose and are cut, clocks that
+ * differ.
+ */
 final class World {
 
     static final Duration LEASE = Desk.LEASE;
--- a/agreement/src/test/java/tamarindroute/agreement/wire/WordsTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/wire/WordsTest.java
@@ -70,7 +70,8 @@
             damaged[with % damaged.length] ^= (byte) (1 + with % 255);
         }
         Heard.of(damaged).ifPresent(heard -> assertThat(heard instanceof Heard.Answered it
-                && (it.answer().lease().isNegative() || it.answer().lease().compareTo(Leased.LEASE_MOST) > 0)).isFalse());
+                && (it.answer().lease().isNegative() || it.answer().lease().compareTo(Leased.LEASE_MOST) > 0))
+                .isFalse());
     }
 
     @Test
