--- a/membership/src/main/java/tamarindroute/membership/Exchange.java
+++ b/membership/src/main/java/tamarindroute/membership/Exchange.java
@@ -94,7 +94,8 @@
     }
 
     void answered(Message message) {
-        if ((int) message.number() == parts) {
+        // A full answer may have left some out: asked again, it tells what is still held otherwise.
+        if ((int) message.number() == parts && message.rumours().size() < own.settings.rumours() - 2) {
             wanted.clear((int) Math.max(0, Math.min(MOST_PARTS, message.number() >>> 32)));
         }
     }
