--- a/windows/src/main/java/tamarindroute/windows/Planner.java
+++ b/windows/src/main/java/tamarindroute/windows/Planner.java
@@ -20,13 +20,15 @@
  * step, as each step looks at all that it can make worse: so every plan keeps cover, room and reserve.
  */
 public final class Planner {
-    /** Orders tried for a small wish: further ones no longer shortened plans of small worlds (docs/windows-design.md). */
+    /** Orders tried for a small wish: about half of all orders of five caches, milliseconds for twenty. */
     static final int TRIES = 64;
     /** Caches placed over all orders of all wishes: 1,000 caches are tried in two orders, which stays under a second. */
     static final int PLACED = 2_000;
 
-    /** Caches that may be placed as one where each alone would leave another of them without room; from the
-     * third order on. Eight made no plan of 300 small worlds better. */
+    /**
+     * Caches that may be placed as one where each alone would leave another of them without room, from the third order
+     * on. Eight made no plan of 300 small worlds better.
+     */
     static final int TOGETHER = 3;
 
     private record Placed(int cache, int start) { }
