--- a/facts/src/test/java/tamarindroute/facts/FactsTest.java
+++ b/facts/src/test/java/tamarindroute/facts/FactsTest.java
@@ -226,6 +226,25 @@
         assertThat(facts.inHand(5)).isZero();
     }
 
+    /** A parcel is lost, and the next one comes before it is known: what came after the hole hides it from nobody. */
+    @Test
+    void aHoleIsHealed() {
+        Address one = member(1, 1).address();
+        Address other = member(2, 1).address();
+        Facts sends = new Facts(member(1, 1), FEED);
+        Facts hears = new Facts(member(2, 1), FEED);
+        sends.told(other, hears.toSend(one, at(1), 9), at(1));
+        sends.own(new Fact.InHand(1, 10), at(1));
+        sends.toSend(other, at(1), 9);
+        sends.own(new Fact.InHand(2, 20), at(1));
+        hears.told(one, sends.toSend(other, at(1), 9), at(1));
+
+        assertThat(List.of(hears.inHand(1), hears.inHand(2))).containsExactly(0.0, 20.0);
+        sends.told(other, hears.toSend(one, at(1), 9), at(1));
+        hears.told(one, sends.toSend(other, at(1), 9), at(1));
+        assertThat(List.of(hears.inHand(1), hears.inHand(2))).containsExactly(10.0, 20.0);
+    }
+
     /** Parcels to two others a round, each lost at odds of three in ten; a pushed event is lost altogether but at one. */
     @ParameterizedTest
     @CsvSource({"1", "2", "3"})
@@ -287,7 +306,6 @@
             }
             slowest = Math.max(slowest, round - 1);
         }
-        System.out.println(size + " rounds " + slowest);
         assertThat(slowest).isLessThan(most + 1);
     }
 }
--- a/facts/src/test/java/tamarindroute/shares/ModelCheck.java
+++ b/facts/src/test/java/tamarindroute/shares/ModelCheck.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -57,8 +58,8 @@
     /** What may go wrong: stops, kills, changes of the leader, words that come twice; words on the way, the longest way. */
     record Budget(int stops, int kills, int leaders, int doubled, int flying, int way) { }
 
-    /** The places of those that may ask, be stopped, be killed and lead; fewer make worlds that can be explored to the end. */
-    record Who(String asks, String stops, String dies, String leads) { }
+    /** The places of those that may ask, give back, be stopped, die and lead; fewer make worlds that can be explored to the end. */
+    record Who(String asks, String gives, String stops, String dies, String leads) { }
 
     record Found(int states, long mostUsed) { }
 
@@ -172,6 +173,16 @@
                 nexts.add(flying(with(world, i, new Node(step.holder(), node.dealer, false, false), left),
                         new Message(world.leader, step.word(), -1, NOW, 0)));
             }
+            if (who.gives.indexOf('0' + i) >= 0 && node.holder.lease() != null) {
+                Holder.Step step = node.holder.givingBack();
+                nexts.add(flying(with(world, i, new Node(step.holder(), node.dealer, false, false), left),
+                        new Message(world.leader, step.word(), -1, NOW, 0)));
+                if (left.kills > 0) {
+                    nexts.add(flying(with(world, i, new Node(node.holder, node.dealer, false, true), new Budget(
+                            left.stops, left.kills - 1, left.leaders, left.doubled, left.flying, left.way)),
+                            new Message(world.leader, node.holder.leaving(), -1, NOW, 0)));
+                }
+            }
             for (int other = 0; mine && other < size; other++) {
                 if (world.nodes.get(other).dead) {
                     nexts.add(flying(world, new Message(i, null, other, NOW, 0)));
@@ -317,9 +328,13 @@
         for (int i = 0; i < size; i++) {
             nodes.add(ranked(trimmed.get(i), ranks.get(i), ranks));
         }
-        List<Message> flying = world.flying.stream().map(one -> one.word == null ? one
-                : new Message(one.to, ranked(one.word, ranks), -1, NOW, one.age)).distinct().sorted((a, b) ->
-                a.toString().compareTo(b.toString())).toList();
+        List<Message> flying = new ArrayList<>();
+        for (Message one : world.flying) {
+            flying.add(one.word == null ? one : new Message(one.to, ranked(one.word, ranks), -1, NOW, one.age));
+        }
+        if (flying.size() > 1) {
+            flying.sort(Comparator.comparing(Message::toString));
+        }
         return new World(nodes, flying, world.leader, world.view, world.until, world.left);
     }
 
@@ -377,7 +392,10 @@
 
     private static Word ranked(Word word, List<Map<Long, Long>> ranks) {
         long number = ranks.get(word.holder().address().port() - 1).get(word.number());
-        return word instanceof Word.Grant grant ? new Word.Grant(grant.holder(), number, grant.part(), grant.length())
-                : new Word.Ask(word.holder(), number);
+        if (word instanceof Word.Grant grant) {
+            return new Word.Grant(grant.holder(), number, grant.part(), grant.length());
+        }
+        return word instanceof Word.Ask ? new Word.Ask(word.holder(), number) : word instanceof Word.Leave
+                ? new Word.Leave(word.holder(), number) : new Word.GiveBack(word.holder(), number);
     }
 }
--- a/facts/src/test/java/tamarindroute/shares/SharesTest.java
+++ b/facts/src/test/java/tamarindroute/shares/SharesTest.java
@@ -28,13 +28,13 @@
         return new ModelCheck(machine, world(3), who).explore(budget, MOST).mostUsed();
     }
 
-    /** Who asks, is stopped, dies, leads; how many stops, kills, leads. */
+    /** Who asks, gives back or leaves, is stopped, dies, leads; how many stops, kills, leads. */
     @ParameterizedTest
-    @CsvSource({"12, '', 2, 0, 0, 1, 1", "12, 1, '', 0, 1, 0, 1", "1, '', 2, 01, 0, 1, 2", "2, 0, 2, 0, 1, 1, 1",
-        "1, 0, 2, 0, 1, 1, 1"})
-    void whatTheLivingUseNeverPassesTheBoundWhateverHappens(String asks, String stops, String dies, String leads, int stop,
-            int kill, int lead) {
-        long most = mostUsed(ModelCheck.SOUND, new Who(asks, stops, dies, leads), new Budget(stop, kill, lead, 0, 1, 1));
+    @CsvSource({"12, '', '', 2, 0, 0, 1, 1", "12, '', 1, '', 0, 1, 0, 1", "1, '', '', 2, 01, 0, 1, 2",
+        "2, '', 0, 2, 0, 1, 1, 1", "1, '', 0, 2, 0, 1, 1, 1", "12, 2, '', '', 0, 0, 1, 1"})
+    void whatTheLivingUseNeverPassesTheBoundWhateverHappens(String asks, String gives, String stops, String dies,
+            String leads, int stop, int kill, int lead) {
+        long most = mostUsed(ModelCheck.SOUND, new Who(asks, gives, stops, dies, leads), new Budget(stop, kill, lead, 0, 1, 1));
 
         assertThat(most).isEqualTo(Bound.WHOLE);
     }
@@ -116,7 +116,7 @@
         "A_REFUSAL_COUNTS_FROM_ITS_COMING, 1, 0, 2, 0, 1, 1, 1", "A_NEW_LIFE_IS_NOT_QUIET, 12, '', 2, 0, 0, 1, 1"})
     void aSeededDefectIsFound(Defect defect, String asks, String stops, String dies, String leads, int stop, int kill,
             int lead) {
-        assertThat(mostUsed(defect, new Who(asks, stops, dies, leads), new Budget(stop, kill, lead, 0, 1, 1)))
+        assertThat(mostUsed(defect, new Who(asks, "", stops, dies, leads), new Budget(stop, kill, lead, 0, 1, 1)))
                 .isGreaterThan(Bound.WHOLE);
     }
 
