--- a/facts/src/main/java/tamarindroute/shares/Dealer.java
+++ b/facts/src/main/java/tamarindroute/shares/Dealer.java
@@ -26,8 +26,9 @@
 
     /** Of a process that has just started: it deals nothing. */
     public static Dealer started(Bound bound, Set<Address> told) {
-        if (told.size() > bound.gateways()) {
-            throw new IllegalArgumentException("told of " + told.size() + " to share a bound of " + bound.gateways());
+        if (told.size() != bound.gateways()) {
+            // The fixed share of one that is not told of would not be kept back.
+            throw new IllegalArgumentException("told of " + told.size() + " of " + bound.gateways());
         }
         Map<Address, Place> places = new HashMap<>();
         told.forEach(one -> places.put(one, Place.UNHEARD));
