--- a/rig/src/test/java/tamarindroute/rig/check/Checkers.java
+++ b/rig/src/test/java/tamarindroute/rig/check/Checkers.java
@@ -27,6 +27,7 @@
             Map.entry("cut-off-told", MemberChecks::cutOffTold),
             Map.entry("lives-in-order", MemberChecks::livesInOrder),
             Map.entry("all-agree", MemberChecks::allAgree),
+            Map.entry("no-flapping", MemberChecks::noFlapping),
             Map.entry("none-ends", ProcessChecks::noneEnds),
             Map.entry("says", ProcessChecks::says),
             Map.entry("silent", ProcessChecks::silent)));
--- a/rig/src/test/java/tamarindroute/rig/check/MemberChecks.java
+++ b/rig/src/test/java/tamarindroute/rig/check/MemberChecks.java
@@ -125,6 +125,21 @@
         return verdict;
     }
 
+    /** no-flapping MOST: nobody calls the same life away more often than so. */
+    static Verdict noFlapping(List<Line> journal, List<String> words) {
+        Verdict verdict = new Verdict();
+        int most = Integer.parseInt(words.get(0));
+        Map<String, Integer> times = new HashMap<>();
+        for (Word word : new MemberWords(journal).words) {
+            verdict.judged++;
+            if (word.standing().equals("away")
+                    && times.merge(word.speaker() + " " + word.about() + " " + word.life(), 1, Integer::sum) > most) {
+                verdict.breach(word.at(), word.speaker() + " calls " + word.about() + " away once more");
+            }
+        }
+        return verdict;
+    }
+
     /** In the end each that runs counts in all that run, in their last lives, and none else. */
     static Verdict allAgree(List<Line> journal, List<String> words) {
         Verdict verdict = new Verdict();
--- a/rig/src/test/java/tamarindroute/rig/play/Play.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Play.java
@@ -25,6 +25,8 @@
 
     /** Sixteen processes that start at once on two cores take some 15 s. */
     private static final Duration START = Duration.ofSeconds(60);
+    /** More that start at once keep those that are there from running for seconds, which a member takes for a pause. */
+    private static final int AT_ONCE = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
     /** The clients' deadline, and as much again for whoever was paused shortly before. */
     private static final long LAST_ANSWERS_MILLIS = 3500;
 
@@ -72,8 +74,12 @@
                 doIt(step);
             }
         }
-        for (Actor actor : actors.values()) {
-            actor.start(Duration.ZERO);
+        List<Actor> all = List.copyOf(actors.values());
+        for (int i = 0; i < all.size(); i++) {
+            if (i >= AT_ONCE) {
+                commands.awaitReady(all.get(i - AT_ONCE), journal, START);
+            }
+            all.get(i).start(Duration.ZERO);
         }
         for (Actor actor : actors.values()) {
             commands.awaitReady(actor, journal, START);
