--- a/windows/src/main/java/tamarindroute/windows/Steps.java
+++ b/windows/src/main/java/tamarindroute/windows/Steps.java
@@ -77,7 +77,7 @@
         if (withdrawn(entry) || tooLate(entry)) {
             callOff(entry);
         } else if (now.compareTo(entry.start()) >= 0) {
-            Lack lack = judge.lack(out(entry), true, now);
+            Lack lack = judge.lack(out(entry, true), true, now);
             if (lack != null) {
                 tell(Matter.HELD_UP, entry, lack);
             } else {
@@ -87,7 +87,7 @@
     }
 
     private void open(Entry entry) {
-        Lack lack = judge.lack(out(null), true, now);
+        Lack lack = judge.lack(out(null, false), true, now);
         if (lack != null) {
             tell(Matter.CALL_BACK, entry, lack);
         }
@@ -95,13 +95,14 @@
             uncovered(entry);
             put(entry, entry.at(Phase.RETURNING, entry.start(), earlier(entry.end())));
         } else if (entry.caches().stream().allMatch(c -> since(entry, c) != null
-                && (since(entry, c).drained() || !since(entry, c).up()))) {
+                && (since(entry, c).drained() || !since(entry, c).up()))
+                && judge.lack(out(null, true), true, now) == null) {
             put(entry, entry.in(Phase.OPEN));
         }
     }
 
     private void look(Entry entry) {
-        Lack lack = judge.lack(out(null), true, now);
+        Lack lack = judge.lack(out(null, false), true, now);
         if (lack != null) {
             uncovered(entry);
             tell(Matter.CALL_BACK, entry, lack);
@@ -127,7 +128,7 @@
     }
 
     private void uncovered(Entry entry) {
-        Lack lack = judge.lack(out(null), false, now);
+        Lack lack = judge.lack(out(null, false), false, now);
         if (lack != null) {
             tell(Matter.UNCOVERED, entry, lack);
         }
@@ -170,14 +171,17 @@
         return end.compareTo(now) < 0 ? end : now;
     }
 
-    /** What must not be counted on: caches of windows under way, of the one that wants to go, not heard of, down or cold. */
-    private SortedSet<String> out(Entry more) {
+    /**
+     * What must not be counted on: caches of windows under way, of the one that wants to go, down or cold. Before a
+     * step those not heard of too; they call nothing back, or a leader that has just started would.
+     */
+    private SortedSet<String> out(Entry more, boolean unheard) {
         SortedSet<String> out = new TreeSet<>();
         state.entries().values().stream().filter(e -> e.phase().holds()).forEach(e -> out.addAll(e.caches()));
         if (more != null) {
             out.addAll(more.caches());
         }
-        judge.caches().stream().filter(c -> word(c) == null || !word(c).up() || !word(c).warm()).forEach(out::add);
+        judge.caches().stream().filter(c -> word(c) == null ? unheard : !word(c).up() || !word(c).warm()).forEach(out::add);
         return out;
     }
 
