--- a/windows/src/main/java/tamarindroute/windows/Board.java
+++ b/windows/src/main/java/tamarindroute/windows/Board.java
@@ -42,7 +42,10 @@
     private int stamps;
     /** How many cold edges each range has in each bin. */
     private final byte[][] colds;
-    /** For each bin and cache: what parents bear without cold edges at the most (NaN: to be told), and what those add. */
+    /**
+     * For each bin and cache: what parents bear without cold edges at the most (NaN: to be told), and what those
+     * add.
+     */
     private final double[][] plain;
     private final double[][] added;
 
@@ -173,7 +176,10 @@
         }
     }
 
-    /** What a range's cold edges add to all parents that one failure may send its fills to, not only to the worst hit. */
+    /**
+     * What a range's cold edges add to all parents that one failure may send its fills to, not only to the worst
+     * hit.
+     */
     private void add(int r, int bin, int sign) {
         double more = sign * share[r] * load[r][bin] * Math.min(1 - world.rules().miss(), world.rules().cold());
         for (int p : fills[r]) {
@@ -316,7 +322,10 @@
         return own + further;
     }
 
-    /** The one group that all before a cache in a range belong to, nobody, or several: then no one failure reaches it. */
+    /**
+     * The one group that all before a cache in a range belong to, nobody, or several: then no one failure
+     * reaches it.
+     */
     private int before(int j, int[] ranked, int bin, int[] group) {
         int before = NOBODY;
         for (int c : ranked) {
--- a/windows/src/main/java/tamarindroute/windows/LoadCurve.java
+++ b/windows/src/main/java/tamarindroute/windows/LoadCurve.java
@@ -24,7 +24,10 @@
     /** A word this old is not yet grown: members tell theirs every few minutes. */
     static final Duration FRESH = Duration.ofMinutes(30);
 
-    /** A member's decaying sums by bin of the day: {@code load} over {@code weight} is its load; {@code at} when it said so. */
+    /**
+     * A member's decaying sums by bin of the day: {@code load} over {@code weight} is its load; {@code at} when
+     * it said so.
+     */
     public record Word(long sequence, double[] load, double[] weight, Duration at) {
         public Word {
             load = load.clone();
@@ -57,7 +60,10 @@
             return weight[bin] > 0 ? load[bin] / weight[bin] : 0;
         }
 
-        /** Neither arrays nor origins of one sequence differ, unless a member breaks its word: then the larger load counts. */
+        /**
+         * Neither arrays nor origins of one sequence differ, unless a member breaks its word: then the larger
+         * load counts.
+         */
         private static Word newer(Word one, Word other) {
             if (one.sequence != other.sequence) {
                 return one.sequence > other.sequence ? one : other;
--- a/windows/src/main/java/tamarindroute/windows/Plan.java
+++ b/windows/src/main/java/tamarindroute/windows/Plan.java
@@ -9,7 +9,10 @@
     /** Caches that go out together; they may be counted on again from {@code warm}. */
     public record Batch(String wish, List<String> caches, Duration start, Duration end, Duration warm) { }
 
-    /** What lacks: a range without cover, one without a fill source, a cache without room, or time between the bounds. */
+    /**
+     * What lacks: a range without cover, one without a fill source, a cache without room, or time between the
+     * bounds.
+     */
     public enum Lacks { COVER, FILL, ROOM, TIME, UNKNOWN }
 
     /**
--- a/windows/src/main/java/tamarindroute/windows/Planner.java
+++ b/windows/src/main/java/tamarindroute/windows/Planner.java
@@ -22,7 +22,10 @@
 public final class Planner {
     /** Orders tried for a small wish: about half of all orders of five caches, milliseconds for twenty. */
     static final int TRIES = 64;
-    /** Caches placed over all orders of all wishes: 1,000 caches are tried in two orders, which stays under a second. */
+    /**
+     * Caches placed over all orders of all wishes: 1,000 caches are tried in two orders, which stays under a
+     * second.
+     */
     static final int PLACED = 2_000;
 
     /**
@@ -285,8 +288,8 @@
             int cache = group.get(g);
             before[g][i] = board.get(cache, bin);
             // A cache that is out or cold by an agreed window or by itself can't have its window there too.
-            lack = before[g][i] == Board.IN ? lack : new Lack(Lacks.TIME, -1, board.world.caches().get(cache).name(), 1, 0,
-                    board.world.time(bin));
+            lack = before[g][i] == Board.IN ? lack
+                    : new Lack(Lacks.TIME, -1, board.world.caches().get(cache).name(), 1, 0, board.world.time(bin));
             board.set(cache, bin, i < job.length ? Board.OUT : Board.COLD);
         }
         for (int g = 0; g < group.size() && lack == null; g++) {
--- a/windows/src/main/java/tamarindroute/windows/Steps.java
+++ b/windows/src/main/java/tamarindroute/windows/Steps.java
@@ -181,7 +181,8 @@
         if (more != null) {
             out.addAll(more.caches());
         }
-        judge.caches().stream().filter(c -> word(c) == null ? unheard : !word(c).up() || !word(c).warm()).forEach(out::add);
+        judge.caches().stream().filter(c -> word(c) == null ? unheard : !word(c).up() || !word(c).warm())
+                .forEach(out::add);
         return out;
     }
 
--- a/windows/src/main/java/tamarindroute/windows/World.java
+++ b/windows/src/main/java/tamarindroute/windows/World.java
@@ -54,7 +54,8 @@
             throw new IllegalArgumentException("a load that is no number or below zero");
         }
         for (Range range : ranges) {
-            if (range.edges().isEmpty() || !load.containsKey(range.location()) || !known(caches, range.edges(), Cache.Tier.EDGE)
+            if (range.edges().isEmpty() || !load.containsKey(range.location())
+                    || !known(caches, range.edges(), Cache.Tier.EDGE)
                     || !known(caches, range.fills(), null)) {
                 throw new IllegalArgumentException("a range of unknown caches or of no load: " + range);
             }
--- a/windows/src/test/java/tamarindroute/windows/BruteForce.java
+++ b/windows/src/test/java/tamarindroute/windows/BruteForce.java
@@ -44,7 +44,10 @@
         }
     }
 
-    /** Cover once gone is gone, and so is room of those placed; one that is yet to be placed may still leave its load. */
+    /**
+     * Cover once gone is gone, and so is room of those placed; one that is yet to be placed may still leave its
+     * load.
+     */
     private boolean fits(int from, int to, int placed) {
         for (int bin = from; bin < to; bin++) {
             for (String lack : lacks(bin, placed)) {
--- a/windows/src/test/java/tamarindroute/windows/NaiveChecker.java
+++ b/windows/src/test/java/tamarindroute/windows/NaiveChecker.java
@@ -10,7 +10,10 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
-/** Tells, bin by bin and failure by failure, from the world's words alone, what lacks. Nothing of the planner is used. */
+/**
+ * Tells, bin by bin and failure by failure, from the world's words alone, what lacks. Nothing of the planner is
+ * used.
+ */
 final class NaiveChecker {
     private NaiveChecker() { }
 
--- a/windows/src/test/java/tamarindroute/windows/PlannerTest.java
+++ b/windows/src/test/java/tamarindroute/windows/PlannerTest.java
@@ -126,7 +126,10 @@
         assertThat(best).as("milliseconds").isLessThan(3_000);
     }
 
-    /** Three equal edges, any of which serves the one range; two bear the load of the day's first hour, all of it is one's at 4. */
+    /**
+     * Three equal edges, any of which serves the one range; two bear the load of the day's first hour, all of it
+     * is one's at 4.
+     */
     private static World three(int bins, Set<World.Failure> reserve) {
         List<Cache> caches = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
--- a/windows/src/test/java/tamarindroute/windows/Worlds.java
+++ b/windows/src/test/java/tamarindroute/windows/Worlds.java
@@ -11,7 +11,10 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
-/** Worlds by seed: weighted rendezvous hashing as the policy's, a day's load whose peak nearly fills the fullest cache. */
+/**
+ * Worlds by seed: weighted rendezvous hashing as the policy's, a day's load whose peak nearly fills the fullest
+ * cache.
+ */
 final class Worlds {
     static final Duration BIN = Duration.ofMinutes(15);
 
@@ -52,7 +55,10 @@
         return scaled(new World(caches, ranges, load, Duration.ZERO, BIN, rules), shape.peak);
     }
 
-    /** Capacities scaled by tier, so that each tier's fullest cache would be at the given part of its own at the peak. */
+    /**
+     * Capacities scaled by tier, so that each tier's fullest cache would be at the given part of its own at the
+     * peak.
+     */
     private static World scaled(World world, double peak) {
         Map<String, double[]> highest = new HashMap<>();
         world.load().forEach((l, load) -> highest.put(l, new double[] {Arrays.stream(load).max().orElseThrow()}));
