--- a/cli/src/test/java/tamarindroute/cli/MembersIT.java
+++ b/cli/src/test/java/tamarindroute/cli/MembersIT.java
@@ -108,13 +108,15 @@
         logged("1.log", "member: " + names.get(2) + "#" + birth + " away");
         Process again = member(2, "again.log");
         for (String log : List.of("0.log", "1.log")) {
-            long later = Long.parseLong(logged(log, "member: " + names.get(2) + "#(?!" + birth + " )(\\d+) alive").group(1));
+            long later = Long.parseLong(
+                    logged(log, "member: " + names.get(2) + "#(?!" + birth + " )(\\d+) alive").group(1));
             assertThat(later).isGreaterThan(birth);
         }
         logged("again.log", "touch: in touch");
         again.destroy();
         logged("0.log", "member: " + names.get(2) + "#\\d+ left");
-        assertThat(Pattern.compile(names.get(1) + "#\\d+ away").matcher(Files.readString(folder.resolve("0.log"))).find())
+        String first = Files.readString(folder.resolve("0.log"));
+        assertThat(Pattern.compile(names.get(1) + "#\\d+ away").matcher(first).find())
                 .as("a false word").isFalse();
     }
 
--- a/members/src/main/java/tamarindroute/members/Endpoint.java
+++ b/members/src/main/java/tamarindroute/members/Endpoint.java
@@ -111,7 +111,7 @@
         return membership.self();
     }
 
-    /** Sends another kind of letter to a life; it may be lost. Longer than Envelopes.LARGEST less 150 bytes it can't be. */
+    /** Sends another kind of letter to a life; it may be lost. It is shorter than Envelopes.LARGEST by 150 bytes. */
     public void send(Member to, Letter.Body body) {
         if (left) {
             return;
--- a/members/src/main/java/tamarindroute/members/FeedNews.java
+++ b/members/src/main/java/tamarindroute/members/FeedNews.java
@@ -29,7 +29,7 @@
 
     /** So many are told at once: with each passing it on as well, thousands know after four or five steps. */
     private static final int PUSHED_TO = 8;
-    /** Who was missed by all that learns it from one asked in this time; five tries in the 500 ms that a drain may take. */
+    /** Who was missed by all learns it from one it asks; five tries within the 500 ms that a drain may take. */
     static final Duration PERIOD = Duration.ofMillis(100);
     /** Some hours of ordinary drains and purges; who lacks more waits for its feed. */
     private static final int MOST_KEPT = 256;
@@ -141,7 +141,8 @@
     private boolean take(Member from, Letter.Event event) {
         Kept mine = kept.get(reader.last());
         if (mine == null || mine.mark != event.before()) {
-            Log.event("news-differs", "what came before event " + event.number() + " is not the same here", "from", from);
+            Log.event("news-differs", "what came before event " + event.number() + " is not the same here",
+                    "from", from);
             return false;
         }
         try {
--- a/members/src/test/java/tamarindroute/members/EndpointTest.java
+++ b/members/src/test/java/tamarindroute/members/EndpointTest.java
@@ -131,8 +131,9 @@
                 int first = from;
                 Town.on(clock, () -> {
                     for (int i = first; i < first + 100; i++) {
-                        datagrams.send(place.places.get(0), new InetSocketAddress("127.1." + i / 250 + "." + (1 + i % 250),
-                                all.getLocalPort()), new byte[] {(byte) (i >> 8), (byte) i});
+                        String host = "127.1." + i / 250 + "." + (1 + i % 250);
+                        datagrams.send(place.places.get(0), new InetSocketAddress(host, all.getLocalPort()),
+                                new byte[] {(byte) (i >> 8), (byte) i});
                     }
                     return null;
                 });
--- a/members/src/test/java/tamarindroute/members/FeedNewsTest.java
+++ b/members/src/test/java/tamarindroute/members/FeedNewsTest.java
@@ -125,7 +125,8 @@
             for (int i = 0; i < 5; i++) {
                 period();
             }
-            assertThat(nodes.stream().filter(node -> node.taken.size() < number).count()).as("lack event " + number).isZero();
+            assertThat(nodes.stream().filter(node -> node.taken.size() < number).count())
+                    .as("lack event " + number).isZero();
         }
         assertThat(nodes).extracting(node -> node.taken).containsOnly(nodes.get(0).taken);
     }
--- a/router/src/test/java/tamarindroute/host/RosterTest.java
+++ b/router/src/test/java/tamarindroute/host/RosterTest.java
@@ -180,7 +180,7 @@
         assertThat(roster.caches()).hasSize(4096);
     }
 
-    /** What another's feed told counts once, in order, and a feed of one's own that is late by it is not one that counts anew. */
+    /** What another told counts once, in order; a feed of one's own that is late by it does not count anew. */
     @Test
     void anEventThatAnotherToldIsKeptThoughTheOwnFeedIsBehind() throws Exception {
         Config config = Config.read(Path.of("example/config.json").toString());
