--- a/facts/src/test/java/tamarindroute/facts/FactsTest.java
+++ b/facts/src/test/java/tamarindroute/facts/FactsTest.java
@@ -111,7 +111,8 @@
     @Property(seed = "7", tries = 500)
     void agesAreNeverTooYoungAndTimesUpNeverTooLong(@ForAll @DoubleRange(max = 1) double way,
             @ForAll @DoubleRange(max = 1) double secondWay, @ForAll @IntRange(max = 20) int heldThere,
-            @ForAll @IntRange(max = 30) int heldHere, @ForAll @IntRange(max = 99) int upFor, @ForAll @IntRange(max = 9) int doubt) {
+            @ForAll @IntRange(max = 30) int heldHere, @ForAll @IntRange(max = 99) int upFor,
+            @ForAll @IntRange(max = 9) int doubt) {
         Facts first = new Facts(member(1, 1), FEED);
         Facts second = new Facts(member(2, 1), FEED);
         Facts third = new Facts(member(3, 1), FEED);
@@ -211,6 +212,8 @@
             facts.own(event(number, false, "x".repeat(100)), at(108));
         }
         assertThat(facts.events().after(2, at(108)).missing()).as("a gap is known as one").isEqualTo(3);
+        assertThat(facts.told(List.of(new Fact(member(1, 1), 3, at(0), event(3, false, "x"))), at(109)))
+                .as("what fell out is not taken and passed on again").isEmpty();
     }
 
     @Test
--- a/facts/src/test/java/tamarindroute/shares/SharesTest.java
+++ b/facts/src/test/java/tamarindroute/shares/SharesTest.java
@@ -52,6 +52,8 @@
         assertThat(part(dealer.refused(other.address(), at(4)), one, 5)).isEqualTo(Bound.WHOLE);
         assertThat(part(dealer.refused(other.address(), at(4)), one, 14)).as("a stale proof").isEqualTo(500_000);
         assertThat(part(dealer.heard(other, at(5)).refused(other.address(), at(4)), one, 6)).isEqualTo(500_000);
+        assertThat(part(dealer.heard(other, at(4)).refused(other.address(), at(4)), one, 6)).as("at one reading of the clock")
+                .isEqualTo(500_000);
         assertThat(part(dealer.gone(other.address(), true), one, 90)).isEqualTo(Bound.WHOLE);
         assertThat(part(dealer.gone(other.address(), true).heard(other, at(5)), one, 6)).isEqualTo(500_000);
         Dealer dealt = dealer.told(new Word.Ask(other, 7), at(5)).dealer();
@@ -60,6 +62,17 @@
         assertThat(dealt.told(new Word.Ask(new Member(other.address(), 0), 9), at(6)).grant()).as("a former life").isNull();
     }
 
+    @Test
+    void anEarlierAskingsGrantThatComesLateChangesNothing() {
+        Member self = new Member(ModelCheck.address(0), 1);
+        Holder holder = Holder.started(self, Bound.of(2), at(0)).asking(at(20)).holder().asking(at(21)).holder()
+                .granted(new Word.Grant(self, 2, 600_000, Bound.LENGTH))
+                .granted(new Word.Grant(self, 1, 900_000, Bound.LENGTH));
+
+        assertThat(holder.share(at(22)).part()).isEqualTo(600_000);
+        assertThat(holder.share(at(25)).part()).as("past its end").isEqualTo(500_000);
+    }
+
     private static long part(Dealer dealer, Member asking, int second) {
         return dealer.told(new Word.Ask(asking, 1), at(second)).grant().part();
     }
