--- a/net/src/main/java/tamarindroute/log/Guard.java
+++ b/net/src/main/java/tamarindroute/log/Guard.java
@@ -15,7 +15,8 @@
         return pass(topic, now());
     }
 
-    synchronized int pass(String topic, int most) {
+    /** The same with some lines a second instead of one. */
+    synchronized int passSome(String topic, int most) {
         return pass(topic, now(), most);
     }
 
@@ -28,7 +29,6 @@
         return pass(topic, now, 1);
     }
 
-    /** The same with some lines a second instead of one. */
     synchronized int pass(String topic, long now, int most) {
         long[] of = last.computeIfAbsent(topic, t -> new long[] {Long.MIN_VALUE / 2, 0, 0});
         // A clock that was set back must not silence a topic until it has caught up.
--- a/net/src/main/java/tamarindroute/log/Log.java
+++ b/net/src/main/java/tamarindroute/log/Log.java
@@ -53,7 +53,7 @@
 
     /** One line of a topic whose lines are changes that differ from each other: some a second pass. */
     public static void change(String topic, Object particulars) {
-        write(GUARD.pass(topic, CHANGES), topic, particulars);
+        write(GUARD.passSome(topic, CHANGES), topic, particulars);
     }
 
     private static void write(int leftOut, String topic, Object particulars, Object... named) {
