--- a/rig/src/test/java/tamarindroute/rig/play/Town.java
+++ b/rig/src/test/java/tamarindroute/rig/play/Town.java
@@ -37,6 +37,8 @@
     private final List<Thread> readers = new ArrayList<>();
     private double weight = 40;
     private int sharers;
+    /** Whether all are told the same addresses, as by one feed; then what comes is not known by its sender. */
+    private boolean alike;
 
     Town(Schedule schedule, Journal journal, Proxies proxies) throws IOException {
         this.schedule = schedule;
@@ -45,6 +47,7 @@
         sharers = schedule.processes;
         for (List<String> words : schedule.settings) {
             weight = words.get(0).equals("weight") ? Double.parseDouble(words.get(1)) : weight;
+            alike |= words.get(0).equals("alike");
             sharers = words.get(0).equals("sharers") ? Integer.parseInt(words.get(1)) : sharers;
         }
         for (String gateway : schedule.numbers()) {
@@ -95,7 +98,8 @@
     private String entry(String gateway, String cache, String state, long started) {
         boolean edge = cache.length() == 1;
         return ("{\"id\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"kind\":\"%s\",\"cell\":%d,\"state\":\"%s\","
-                + "\"weight\":%s,\"started_ms\":%d}").formatted(id(cache), ports.get(gateway + " " + cache),
+                + "\"weight\":%s,\"started_ms\":%d}").formatted(id(cache), 
+                ports.get((alike ? schedule.numbers().get(0) : gateway) + " " + cache),
                 edge ? "shed" : "hub", edge ? "edge" : cache, edge ? schedule.caches.indexOf(cache) % 2 : 0, state,
                 weight, started);
     }
@@ -116,8 +120,9 @@
 
     void tell(String cache, String state, List<String> gateways) {
         boolean cold = state.equals("cold");
+        long started = cold ? System.currentTimeMillis() : 0;
         for (String gateway : gateways) {
-            String entry = entry(gateway, cache, cold ? "ready" : state, cold ? System.currentTimeMillis() : 0);
+            String entry = entry(gateway, cache, cold ? "ready" : state, started);
             entries.put(gateway + " " + cache, entry);
             feeds.get(gateway).tell("{\"n\":N,\"members\":{\"version\":2,\"full\":false,\"servers\":[" + entry + "]}}");
             journal.add("feed", "told=" + gateway + " cache=" + cache + " state=" + state + " weight=" + weight);
--- a/rig/src/test/java/tamarindroute/rig/schedule/Words.java
+++ b/rig/src/test/java/tamarindroute/rig/schedule/Words.java
@@ -86,7 +86,7 @@
                 boolean breach = name.equals("breach");
                 schedule.expectations.add(new Expectation(breach ? next("a checker's name") : name, rest(), breach, line));
             }
-            case "seeds", "voters", "timing", "weight", "sharers" -> {
+            case "seeds", "voters", "timing", "weight", "sharers", "alike" -> {
                 words.add(0, first);
                 schedule.settings.add(rest());
             }
