--- /dev/null
+++ b/members/src/main/java/tamarindroute/members/Beside.java
@@ -0,0 +1,35 @@
+package tamarindroute.members;
+
+import java.util.Map;
+import tamarindroute.members.agreed.Agreed;
+import tamarindroute.members.wire.Letter;
+import tamarindroute.membership.Address;
+import tamarindroute.membership.Member;
+import tamarindroute.membership.Standing;
+
+/** An endpoint as the agreed view sees it. */
+record Beside(Endpoint endpoint) implements Agreed.Others {
+
+    /** No birth is below 1: this one stands for whatever life is there, the agreement's messages name theirs. */
+    private static final long ANY = 0;
+
+    @Override
+    public Member self() {
+        return endpoint.self();
+    }
+
+    @Override
+    public Map<Member, Standing> members() {
+        return endpoint.members();
+    }
+
+    @Override
+    public boolean inTouch() {
+        return endpoint.touch().inTouch();
+    }
+
+    @Override
+    public void send(Address to, byte[] bytes) {
+        endpoint.send(new Member(to, ANY), new Letter.Agreement(bytes));
+    }
+}
--- a/members/src/main/java/tamarindroute/members/Members.java
+++ b/members/src/main/java/tamarindroute/members/Members.java
@@ -6,6 +6,7 @@
 import tamarindroute.host.Companion;
 import tamarindroute.host.Instance;
 import tamarindroute.host.Roster;
+import tamarindroute.members.agreed.Agreed;
 import tamarindroute.members.wire.Letter;
 import tamarindroute.membership.Member;
 import tamarindroute.net.Datagrams;
@@ -17,6 +18,7 @@
     private final MembersSettings settings;
     private Endpoint endpoint;
     private FeedNews news;
+    private Agreed agreed;
 
     public Members(MembersSettings settings) {
         this.settings = settings;
@@ -41,6 +43,18 @@
         endpoint.start();
         roster.whenRead(news::read);
         news.start();
+        if (!settings.voters().isEmpty()) {
+            agreed = new Agreed(instance.clock(), settings.name(), settings.voters(), settings.store(),
+                    new Beside(endpoint));
+            agreed.start();
+        }
+    }
+
+    @Override
+    public void agreement(Member from, byte[] bytes) {
+        if (agreed != null) {
+            agreed.received(from, bytes);
+        }
     }
 
     @Override
@@ -62,6 +76,9 @@
 
     @Override
     public void stopping() {
+        if (agreed != null) {
+            agreed.close();
+        }
         if (endpoint != null) {
             endpoint.leave();
         }
--- a/members/src/main/java/tamarindroute/members/MembersSettings.java
+++ b/members/src/main/java/tamarindroute/members/MembersSettings.java
@@ -54,6 +54,11 @@
         return settings;
     }
 
+    /** Where a voter keeps its part of what is agreed: beside the state file. */
+    Path store() {
+        return state == null ? null : state.resolveSibling(state.getFileName() + ".agreed");
+    }
+
     /** An address of the settings as members tell it. */
     static Address address(InetSocketAddress address) {
         return new Address(address.getAddress().getHostAddress(), address.getPort());
@@ -95,6 +100,9 @@
             }
             Settings membership = membership(root);
             Path state = root.text("state") == null ? null : beside(root.text("state"));
+            if (state == null && voters.contains(own)) {
+                fault(root, "a voter needs a state file: what it keeps of the agreed view stands beside it");
+            }
             return faults.isEmpty()
                     ? new MembersSettings(listen, own, state, seal, seeds, voters, ways, membership) : null;
         }
