--- a/members/src/test/java/tamarindroute/members/Town.java
+++ b/members/src/test/java/tamarindroute/members/Town.java
@@ -7,6 +7,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import tamarindroute.host.Clock;
+import tamarindroute.members.agreed.Agreed;
 import tamarindroute.membership.Action;
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
@@ -39,17 +41,29 @@
         final Datagrams datagrams = new Datagrams(clock);
         final Map<Address, List<Standing>> told = Collections.synchronizedMap(new HashMap<>());
         final Endpoint endpoint;
+        Agreed agreed;
 
-        Node(MembersSettings settings, long wallMillis) throws Exception {
+        Node(MembersSettings settings, long wallMillis, Path store) throws Exception {
             endpoint = on(clock, () -> new Endpoint(clock, datagrams, settings, wallMillis, new Endpoint.Listener() {
                 @Override
                 public void became(Member about, Standing standing) {
                     told.computeIfAbsent(about.address(), a -> Collections.synchronizedList(new ArrayList<>()))
                             .add(standing);
                 }
+
+                @Override
+                public void agreement(Member from, byte[] bytes) {
+                    if (agreed != null) {
+                        agreed.received(from, bytes);
+                    }
+                }
             }));
             on(clock, () -> {
                 endpoint.start();
+                if (!settings.voters().isEmpty()) {
+                    agreed = new Agreed(clock, settings.name(), settings.voters(), store, new Beside(endpoint));
+                    agreed.start();
+                }
                 return null;
             });
         }
@@ -80,6 +94,12 @@
         /** Its socket is gone and it says nothing more. */
         void kill() throws Exception {
             datagrams.shutDown();
+            if (agreed != null) {
+                on(clock, () -> {
+                    agreed.close();
+                    return null;
+                });
+            }
             leave();
             nodes.remove(this);
         }
@@ -127,6 +147,9 @@
     final List<InetSocketAddress> places = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
     private final List<Way> ways = new ArrayList<>();
+    /** So many of the first places vote, and keep what they agree here. */
+    int voters;
+    Path folder;
 
     Town(int size) throws IOException {
         List<DatagramSocket> held = new ArrayList<>();
@@ -143,7 +166,8 @@
                 .map(MembersSettings::address).toList());
         seeds.remove(own);
         Node node = new Node(new MembersSettings(places.get(place), own, null, new Seal(Map.of(1, key), 1), seeds,
-                List.of(), through, FAST), wallMillis);
+                places.subList(0, voters).stream().map(MembersSettings::address).toList(), through, FAST), wallMillis,
+                folder == null ? null : folder.resolve(place + ".agreed"));
         nodes.add(node);
         return node;
     }
@@ -187,6 +211,9 @@
     @Override
     public void close() {
         for (Node node : nodes) {
+            if (node.agreed != null) {
+                node.clock.handOver(node.agreed::close);
+            }
             node.clock.handOver(node.endpoint::leave);
             node.clock.handOver(node.datagrams::shutDown);
         }
