--- a/cli/src/test/java/tamarindroute/cli/AgreedIT.java
+++ b/cli/src/test/java/tamarindroute/cli/AgreedIT.java
@@ -160,6 +160,30 @@
         assertThat(read("3.log").substring(others)).doesNotContain("led by " + names.get(stopped));
     }
 
+    @Test
+    void withoutMostVotersOperatorsAreToldAndGatewaysStay() throws Exception {
+        for (int i = 0; i < VOTERS + 1; i++) {
+            member(i, i + ".log");
+        }
+        String leader = logged("3.log", 0, "agreed: view \\d+, 4 members, led by (\\S+)#\\d+").group(1);
+        int left = names.indexOf(leader);
+        for (int i = 0; i < VOTERS; i++) {
+            if (i != left) {
+                started.get(i).destroyForcibly().waitFor();
+            }
+        }
+        for (String log : List.of("3.log", left + ".log")) {
+            logged(log, 0, "agreed: out of touch since \\d+ ms");
+        }
+        logged(left + ".log", 0, "agreed: no majority since \\d+ ms");
+        assertThat(started.get(3).isAlive() && started.get(left).isAlive()).isTrue();
+        int back = (left + 1) % VOTERS;
+        int at = length("3.log");
+        member(back, "back.log");
+        logged(left + ".log", 0, "agreed: a majority again");
+        logged("3.log", at, "agreed: view \\d+, 3 members, led by ");
+    }
+
     private void signal(int place, String name) throws Exception {
         assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(started.get(place).pid())).start().waitFor())
                 .isZero();
--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import tamarindroute.agreement.Agreement;
+import tamarindroute.agreement.Command;
 import tamarindroute.agreement.View;
 import tamarindroute.agreement.wire.Heard;
 import tamarindroute.host.Steady;
@@ -40,6 +42,7 @@
     private final Others others;
     private final Mail mail;
     private final Holding holding;
+    private final Proposing proposing;
     private final Optional<Voting> voting;
     private boolean closed;
 
@@ -55,6 +58,7 @@
         this.others = others;
         this.mail = new Mail(timers, name, others::send, this::whole);
         this.holding = new Holding(others.self(), voters, mail, Steady.now());
+        this.proposing = new Proposing(others.self(), voters, mail);
         this.voting = voters.contains(name) ? Optional.of(new Voting(timers, voters, store, mail)) : Optional.empty();
     }
 
@@ -69,6 +73,7 @@
             voting.get().tick(others.self(), others.members(), others.inTouch(), Steady.now());
         }
         holding.tick(Steady.now());
+        proposing.tick(Steady.now());
     }
 
     private void again() {
@@ -90,13 +95,29 @@
         if (closed) {
             return;
         }
-        if (Heard.of(message).orElse(null) instanceof Heard.Answered it) {
-            holding.answered(from, it.answer(), Steady.now());
+        Heard heard = Heard.of(message).orElse(null);
+        if (heard instanceof Heard.Answered || heard instanceof Heard.Proposed) {
+            if (holding.votes(from)) {
+                answered(heard);
+            }
         } else {
             voting.ifPresent(one -> one.received(from, message));
         }
     }
 
+    private void answered(Heard heard) {
+        if (heard instanceof Heard.Answered it) {
+            holding.answered(it.answer(), Steady.now());
+        } else if (heard instanceof Heard.Proposed it) {
+            proposing.answered(it.number(), it.outcome());
+        }
+    }
+
+    /** Proposes at whoever leads; calls back once, on the owner's thread. */
+    public void propose(Command command, Consumer<Agreement.Outcome> outcome) {
+        proposing.propose(command, holding.leader(), outcome, Steady.now());
+    }
+
     /** What is agreed and may be acted on at this moment; empty: out of touch. Asked again ahead of each act. */
     public Optional<View> held() {
         return holding.held(Steady.now());
--- a/members/src/main/java/tamarindroute/members/agreed/Holding.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Holding.java
@@ -49,13 +49,19 @@
         }
     }
 
-    /** Voters alone are believed, and whom they tell to lead by its own word. */
-    void answered(Address from, Answer answer, Duration now) {
-        boolean known = voters.contains(from) || leased.view().stream().flatMap(view -> view.voters().stream())
-                .anyMatch(one -> one.address().equals(from));
-        if (!known) {
-            return;
-        }
+    /** Whether one is a voter, as told or as agreed: those alone are believed. */
+    boolean votes(Address one) {
+        return voters.contains(one) || leased.view().stream().flatMap(view -> view.voters().stream())
+                .anyMatch(voter -> voter.address().equals(one));
+    }
+
+    /** Who led when it was last heard. */
+    Optional<Address> leader() {
+        return leader.map(Member::address);
+    }
+
+    /** A voter's answer. */
+    void answered(Answer answer, Duration now) {
         leased = leased.answered(answer);
         if (answer.led()) {
             leader = answer.leader();
--- a/members/src/test/java/tamarindroute/members/AgreedViewTest.java
+++ b/members/src/test/java/tamarindroute/members/AgreedViewTest.java
@@ -82,9 +82,8 @@
 
     private static Agreement.Outcome propose(Town.Node node, Command command) throws Exception {
         List<Agreement.Outcome> outcomes = new ArrayList<>();
-        Agreement agreement = agreement(node);
         Town.on(node.clock, () -> {
-            agreement.propose(command, outcomes::add);
+            node.agreed.propose(command, outcomes::add);
             return null;
         });
         Town.await(() -> Town.on(node.clock, () -> !outcomes.isEmpty()));
@@ -130,12 +129,13 @@
             Town.Node leader = leader(town);
             for (int i = 0; i < 8; i++) {
                 long from = Town.on(leader.clock, () -> leader.agreed.agreement().get().view().number());
-                assertThat(propose(leader, new Command.Put("k" + i, from, "t", new byte[16_000])).fate())
+                // By whoever leads, by a voter that does not, by one without a vote.
+                assertThat(propose(town.nodes.get(1 + i % 4), new Command.Put("k" + i, from, "t", new byte[16_000])).fate())
                         .isEqualTo(Agreement.Fate.AGREED);
             }
             Town.Node fresh = town.nodes.get(4);
             fresh.kill();
-            town.start(4);
+            town.start(4, 2_000, Town.KEY, Map.of());
             View last = agreed(town);
             assertThat(last.entries()).hasSize(8);
             for (Town.Node node : List.copyOf(town.nodes.subList(0, 3))) {
--- a/members/src/test/java/tamarindroute/members/MembersSettingsTest.java
+++ b/members/src/test/java/tamarindroute/members/MembersSettingsTest.java
@@ -86,4 +86,12 @@
         Files.writeString(kept, "no birth");
         assertThat(new Birth(kept).propose(4_000)).isEqualTo(4_000);
     }
+
+    @Test
+    void aVoterKeepsWhatItAgreesBesideItsStateFile() throws IOException {
+        String votes = sound.replace("<timing", "<voter address=\"127.0.0.1:9001\"/><timing");
+        assertThat(MembersSettings.read(file(votes)).store()).isEqualTo(folder.resolve("members.birth.agreed"));
+        assertThat(faults(votes.replace(" state=\"members.birth\"", ""))).singleElement().asString()
+                .startsWith("3:").contains("a voter needs a state file");
+    }
 }
