--- a/membership/src/main/java/tamarindroute/membership/Exchange.java
+++ b/membership/src/main/java/tamarindroute/membership/Exchange.java
@@ -94,7 +94,8 @@
     }
 
     void answered(Message message) {
-        if ((int) message.number() == parts) {
+        // A full answer may have left some out: asked again, it tells what is still held otherwise.
+        if ((int) message.number() == parts && message.rumours().size() < own.settings.rumours() - 2) {
             wanted.clear((int) Math.max(0, Math.min(MOST_PARTS, message.number() >>> 32)));
         }
     }
@@ -110,7 +111,8 @@
         }
         int most = own.settings.rumours() - 2;
         // Of a part that is too long now its beginning goes, now its end.
-        return held.size() <= most ? held : held.subList(skip * (held.size() - most), skip * (held.size() - most) + most);
+        int from = skip * Math.max(0, held.size() - most);
+        return held.subList(from, Math.min(held.size(), from + most));
     }
 
     private static boolean same(Entry entry, Rumour theirs) {
