--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -70,7 +70,7 @@
         timers.after(TICK, this::again);
         mail.tick();
         if (voting.isPresent()) {
-            voting.get().tick(others.self(), others.members(), others.inTouch(), Steady.now());
+            voting.get().tick(others, Steady.now());
         }
         holding.tick(Steady.now());
         proposing.tick(Steady.now());
--- a/members/src/main/java/tamarindroute/members/agreed/Outbox.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Outbox.java
@@ -8,9 +8,9 @@
 
 /**
  * Owns the messages that are being sent, a few pieces at a time so that a receiver's buffer holds them. Each goes three
- * times in all: no piece is asked for again, and at a fifth of loss one in 125 is lost three times. (Sent once, elections
- * took minutes at that loss.) Messages have their turns, a piece each. Where there is no room a message of one piece goes
- * only once, and a longer one is lost, as on a network; whoever waits for it asks again.
+ * times in all: no piece is asked for again, and at a fifth of loss one in 125 is lost three times. (Sent once,
+ * elections took minutes at that loss.) Messages have their turns, a piece each. Where there is no room a message of
+ * one piece goes only once, and a longer one is lost, as on a network; whoever waits for it asks again.
  */
 final class Outbox {
 
--- a/members/src/main/java/tamarindroute/members/agreed/Voting.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Voting.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import tamarindroute.agreement.Agreement;
 import tamarindroute.agreement.raft.Owner;
@@ -16,7 +15,6 @@
 import tamarindroute.log.Log;
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
-import tamarindroute.membership.Standing;
 import tamarindroute.net.Timers;
 
 /**
@@ -49,13 +47,13 @@
         this.store = new FileMedium(file);
     }
 
-    /** @param self as membership knows it; inTouch whether it runs and is heard */
-    void tick(Member self, Map<Member, Standing> others, boolean inTouch, Duration now) throws IOException {
+    void tick(Agreed.Others others, Duration now) throws IOException {
         if (failed) {
             return;
         }
+        boolean inTouch = others.inTouch();
         if (voter.isEmpty() && (!fresh || inTouch)) {
-            open(self);
+            open(others.self());
         }
         if (voter.isEmpty()) {
             return;
@@ -67,7 +65,7 @@
             cutting = Cutting.none(now);
             return;
         }
-        Cutting.Step step = cutting.step(agreement.view(), self, others, now);
+        Cutting.Step step = cutting.step(agreement.view(), others.self(), others.members(), now);
         cutting = step.next();
         step.cut().ifPresent(cut -> agreement.propose(cut, outcome -> {
             if (outcome.fate() == Agreement.Fate.REFUSED) {
@@ -103,7 +101,8 @@
         Optional<Duration> since = state.noMajoritySince();
         if (since.isPresent() && !without && now.minus(since.get()).compareTo(TOLD_AFTER) >= 0) {
             without = true;
-            Log.change("agreed", "no majority since " + now.minus(since.get()).toMillis() + " ms: nothing agreed moves");
+            Log.change("agreed", "no majority since " + now.minus(since.get()).toMillis()
+                    + " ms: nothing agreed moves");
         } else if (since.isEmpty() && without) {
             without = false;
             Log.change("agreed", "a majority again");
--- a/members/src/test/java/tamarindroute/members/agreed/CuttingTest.java
+++ b/members/src/test/java/tamarindroute/members/agreed/CuttingTest.java
@@ -70,6 +70,7 @@
         others.put(member(1, 1), Standing.ALIVE);
         for (int i = 0; i < 40; i++) {
             others.put(member(2, 1), i % 2 == 0 ? Standing.ALIVE : Standing.SUSPECT);
+            others.put(member(3, 1), i % 2 == 1 ? Standing.ALIVE : Standing.SUSPECT);
             run(Duration.ofMillis(500));
         }
         assertThat(view.members()).containsExactly(SELF, member(1, 1));
--- a/members/src/test/java/tamarindroute/members/agreed/PiecesTest.java
+++ b/members/src/test/java/tamarindroute/members/agreed/PiecesTest.java
@@ -78,15 +78,17 @@
     }
 
     /** Whoever has the key and sends noise, or starts what it never ends, takes no more than the bounds tell. */
-    @Property(seed = "29", tries = 200)
+    @Property(seed = "29", tries = 20)
     void whatIsKeptIsBounded(@ForAll @IntRange(max = 1 << 30) int seed) {
         Random random = new Random(seed);
         Pieces pieces = new Pieces();
         byte[] longest = new byte[Words.MESSAGE_MOST];
-        for (int i = 0; i < 300; i++) {
+        // Many messages of few pieces, or few of many: first one bound is met, then the other.
+        int numbers = seed % 2 == 0 ? 200 : 2;
+        for (int i = 0; i < 4_000; i++) {
             byte[] piece = random.nextInt(4) == 0 ? message(random, random.nextInt(Pieces.HEAD + Pieces.PIECE + 2))
-                    : Pieces.cut(longest, 1 + random.nextInt(200), random.nextInt(Pieces.PIECES_MOST - 1));
-            pieces.taken(sender(random.nextInt(40)), piece, AT.plusMillis(i));
+                    : Pieces.cut(longest, 1 + random.nextInt(numbers), random.nextInt(Pieces.PIECES_MOST - 1));
+            pieces.taken(sender(random.nextInt(numbers == 2 ? 5 : 40)), piece, AT.plusMillis(i));
             assertThat(pieces.underWay()).isLessThanOrEqualTo(Pieces.ALL_MOST);
             assertThat(pieces.held()).isBetween(0, Pieces.BYTES_MOST);
         }
