--- a/members/src/test/java/tamarindroute/members/AgreedViewTest.java
+++ b/members/src/test/java/tamarindroute/members/AgreedViewTest.java
@@ -163,7 +163,8 @@
             for (int i = 0; i < 8; i++) {
                 long from = Town.on(leader.clock, () -> leader.agreed.agreement().get().view().number());
                 // By whoever leads, by a voter that does not, by one without a vote.
-                assertThat(propose(town.nodes.get(1 + i % 4), new Command.Put("k" + i, from, "t", new byte[16_000])).fate())
+                Command put = new Command.Put("k" + i, from, "t", new byte[16_000]);
+                assertThat(propose(town.nodes.get(1 + i % 4), put).fate())
                         .isEqualTo(Agreement.Fate.AGREED);
             }
             Town.Node fresh = town.nodes.get(4);
--- a/members/src/test/java/tamarindroute/members/agreed/CuttingTest.java
+++ b/members/src/test/java/tamarindroute/members/agreed/CuttingTest.java
@@ -94,7 +94,7 @@
         assertThat(cuts).hasSize(3);
     }
 
-    /** Whatever membership holds: no cut is refused, they keep their distance, and in the end the view is what it holds. */
+    /** Whatever membership holds: no cut is refused, they keep their distance, the view ends as what it holds. */
     @Property(seed = "30", tries = 200)
     void cutsAreAlwaysSoundBoundedAndEndWhereMembershipIs(@ForAll @IntRange(max = 1 << 30) int seed) {
         Random random = new Random(seed);
--- a/members/src/test/java/tamarindroute/members/agreed/PiecesTest.java
+++ b/members/src/test/java/tamarindroute/members/agreed/PiecesTest.java
@@ -34,7 +34,7 @@
 
     private record Come(Member from, byte[] bytes) { }
 
-    /** A message comes out as it was, once, or not at all; without loss each does, in whatever order its pieces come. */
+    /** A message comes out as it was, once, or not at all; without loss each does, in whatever order. */
     @Property(seed = "28", tries = 300)
     void messagesComeOutWholeAndOnceOrNot(@ForAll @IntRange(max = 1 << 30) int seed,
             @ForAll @IntRange(max = 30) int loss) {
@@ -122,8 +122,8 @@
         while (!outbox.isEmpty()) {
             for (Outbox.Piece piece : outbox.next()) {
                 sent++;
-                whole += pieces.taken(sender(1), piece.bytes(), AT).filter(one -> Arrays.equals(one, longest)).isPresent()
-                        ? 1 : 0;
+                whole += pieces.taken(sender(1), piece.bytes(), AT).filter(one -> Arrays.equals(one, longest))
+                        .isPresent() ? 1 : 0;
             }
         }
         assertThat(whole).isEqualTo(1);
@@ -155,7 +155,8 @@
 
     @Example
     void aPieceHasRoomInALetterOfTheLongestNames() {
-        Member longest = new Member(new Address("0000:0000:0000:0000:0000:0000:255.255.255.255", 65_535), Long.MAX_VALUE);
+        Address name = new Address("0000:0000:0000:0000:0000:0000:255.255.255.255", 65_535);
+        Member longest = new Member(name, Long.MAX_VALUE);
         byte[] piece = Pieces.cut(new byte[Words.MESSAGE_MOST], Long.MAX_VALUE, 0);
         assertThat(Envelopes.write(Letter.of(longest, Long.MAX_VALUE, new Letter.Agreement(piece))).length)
                 .isLessThanOrEqualTo(Envelopes.LARGEST);
