--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -113,9 +113,18 @@
         }
     }
 
-    /** Proposes at whoever leads; calls back once, on the owner's thread. */
+    /**
+     * Proposes at whoever leads; calls back once, on the owner's thread. Where the leader has just died the outcome is
+     * unknown after some seconds: what the view has by then tells, or it is proposed again, which changes nothing twice.
+     */
     public void propose(Command command, Consumer<Agreement.Outcome> outcome) {
-        proposing.propose(command, holding.leader(), outcome, Steady.now());
+        proposing.propose(command, leader(), outcome, Steady.now());
+    }
+
+    /** A voter knows sooner than whoever only asks; it may lead itself. */
+    private Optional<Address> leader() {
+        Optional<Agreement> own = agreement();
+        return own.isPresent() ? own.get().state().leader().map(Member::address) : holding.leader();
     }
 
     /** What is agreed and may be acted on at this moment; empty: out of touch. Asked again ahead of each act. */
