Decisions: a part of what cold caches bear may be dealt to a gateway until a told time

Cause: what a cold cache bears is split evenly over the gateways told at the start; what dead ones held lay idle.

Change: Decisions.dealt(tier, part, until, now). Until then the part takes the place of the even share in what flows in and what may be saved up (Node.bears); past it the even share holds again by itself. What flowed in before a change came by the old part, savings are cut to what the part now held lets save, and where a lease ended unseen the smaller of the two counts since the last look. Names keep the even share.

--- a/decision/src/main/java/tamarindroute/decision/Decisions.java
+++ b/decision/src/main/java/tamarindroute/decision/Decisions.java
@@ -26,6 +26,10 @@
 
     void loaded(Cache cache, Load load, Duration now);
 
+    /** Until then this instance's part of what each cold cache of the tier bears is this one, from 0 to 1, in place of
+     *  its even share; past it the even share again, by itself. A later word replaces it. Names keep the even share. */
+    void dealt(Cache.Tier tier, double part, Duration until, Duration now);
+
     /** What is held of a cache; null for one that the list does not name. For fronts that carry no views. */
     Regard regard(Cache cache, Duration now);
 
--- a/policy/src/main/java/tamarindroute/policy/Brain.java
+++ b/policy/src/main/java/tamarindroute/policy/Brain.java
@@ -38,6 +38,13 @@
         Optional.ofNullable(all.nodes.get(cache)).ifPresent(n -> n.told.toward(load.busy(), 1, seconds(now)));
     }
 
+    /** What had flowed in by now came by the part before: savings must not follow the part to and fro. */
+    @Override
+    public void dealt(Cache.Tier tier, double part, Duration until, Duration now) {
+        all.nodes.values().stream().filter(n -> n.cache.tier == tier).forEach(n -> n.bears(0, seconds(now)));
+        all.dealt.put(tier, new Caches.Dealt(Math.max(0, Math.min(1, part)), seconds(until)));
+    }
+
     @Override
     public Regard regard(Cache cache, Duration at) {
         Node node = all.nodes.get(cache);
--- a/policy/src/main/java/tamarindroute/policy/Caches.java
+++ b/policy/src/main/java/tamarindroute/policy/Caches.java
@@ -10,18 +10,19 @@
 /** Owns the caches in their tiers, their order for a key, and what is measured over all: waits, fills. */
 final class Caches {
 
+    /** A part of what a cold cache bears, and until when it holds. */
+    record Dealt(double part, double until) { }
+
     final Settings settings;
+    final Map<Cache.Tier, Dealt> dealt = new EnumMap<>(Cache.Tier.class);
     final Map<Cache, Node> nodes = new IdentityHashMap<>();
-    List<Node> edges = List.of();
+    List<Node> edges = List.of(), parents = List.of(), origins = List.of();
     double edgePlaces;
-    List<Node> parents = List.of();
-    List<Node> origins = List.of();
     private long draws;
     /** The view for which a place is sought just now; null while outcomes are noted. */
     View asking;
     /** The waits d and D of the design page: for a hit or a sibling's copy, and for a fill from above. */
-    double near = 0.005;
-    double far = 0.05;
+    double near = 0.005, far = 0.05;
     private final Fading fills = new Fading(3, 0);
     private final Map<Profile, Fading> sendingTimes = new IdentityHashMap<>();
 
--- a/policy/src/main/java/tamarindroute/policy/Judging.java
+++ b/policy/src/main/java/tamarindroute/policy/Judging.java
@@ -17,8 +17,7 @@
      *  its cache or source is doubted for other views' sake too. Guards against whatever takes views and
      *  answers none. */
     Answer overdue(View view, Trip trip, double now, Supplier<Answer> next) {
-        Node node = all.nodes.get(trip.cache);
-        Node source = all.nodes.get(trip.source);
+        Node node = all.nodes.get(trip.cache), source = all.nodes.get(trip.source);
         double work = all.work(view);
         blame(trip, node, source, true, 0.5, now);
         if (source != node && !trip.onlyHeld) {
@@ -59,8 +58,7 @@
     /** Puts a trip's outcome to the account of the cache or of its source, and to the measures. */
     void note(View view, Trip trip, double now) {
         Outcome outcome = trip.outcome;
-        Node node = all.nodes.get(trip.cache);
-        Node source = all.nodes.get(trip.source);
+        Node node = all.nodes.get(trip.cache), source = all.nodes.get(trip.source);
         all.count(trip, -1, now);
         rules.ended().add(1, now);
         switch (outcome.result()) {
--- a/policy/src/main/java/tamarindroute/policy/Node.java
+++ b/policy/src/main/java/tamarindroute/policy/Node.java
@@ -1,6 +1,6 @@
 package tamarindroute.policy;
 
-import static tamarindroute.policy.Caches.seconds;
+import static tamarindroute.policy.Caches.*;
 
 import java.time.Duration;
 import java.util.Objects;
@@ -15,11 +15,8 @@
     private final long stirred;
     private Duration upSince;
     /** 3 s even out some tens of views; waits and slowness are forgotten in 10 s, to be tried again. */
-    final Fading inHand = new Fading(3, 0);
-    final Fading fillWait = new Fading(10, 0);
-    final Fading slowness = new Fading(10, 1);
-    final Fading told = new Fading(4, 1);
-    final Fading doubt = new Fading(20, 0);
+    final Fading inHand = new Fading(3, 0), told = new Fading(4, 1), doubt = new Fading(20, 0);
+    final Fading fillWait = new Fading(10, 0), slowness = new Fading(10, 1);
     boolean barred;
     private double triedAt, wait, allowanceAt;
     double allowance, score;
@@ -30,14 +27,13 @@
     Node(Cache cache, Caches all) {
         this.cache = cache;
         this.all = all;
-        this.stirred = Caches.stir(cache.mark);
+        this.stirred = stir(cache.mark);
         this.start = cache.tier == Cache.Tier.PARENT ? all.settings.parentStart() : all.settings.edgeStart();
     }
 
     /** Its place for a key: the lowest comes first. */
     void score(long key) {
-        double u = ((Caches.stir(key ^ stirred) >>> 11) + 0.5) / 0x1p53;
-        score = -Math.log(u) / Math.max(1e-6, cache.weight);
+        score = -Math.log(((stir(key ^ stirred) >>> 11) + 0.5) / 0x1p53) / Math.max(1e-6, cache.weight);
     }
 
     /** A process that has just started owes nothing of its former self's. */
@@ -60,13 +56,20 @@
         return cache.standing == Cache.Standing.READY;
     }
 
-    /** This instance's share of the work a second that pushes a cold cache over. */
+    /** This instance's even share of the work a second that pushes a cold cache over. */
     double rate(double now) {
         double age = Math.max(0, now - seconds(cache.upSince));
         double warmth = start.from() + (1 - start.from()) * age / seconds(start.warmAfter());
         return start.multiple() * warmth * cache.weight / sharers();
     }
 
+    /** How many even shares it was dealt; where that ended since it last looked, the less of the two. */
+    private double dealt(double now) {
+        Dealt dealt = all.dealt.getOrDefault(cache.tier, new Dealt(0, 0));
+        double shares = dealt.part() * sharers();
+        return now < dealt.until() ? shares : allowanceAt < dealt.until() ? Math.min(1, shares) : 1;
+    }
+
     /** Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
      *  multiple: 0.7 of it flows in, 0.4 may wait. Where that is less than the view, it goes by lot, once a
      *  view, at odds of what has flowed in, which is then spent: gateways that each saved up a view came
@@ -76,7 +79,7 @@
         if (!cold(now)) {
             return true;
         }
-        double rate = rate(now);
+        double rate = rate(now) * dealt(now);
         double most = 0.4 * rate * seconds(start.window());
         allowance = Math.min(most, allowance + 0.7 * rate * (now - allowanceAt));
         allowanceAt = now;
--- a/policy/src/main/java/tamarindroute/policy/Popularity.java
+++ b/policy/src/main/java/tamarindroute/policy/Popularity.java
@@ -7,8 +7,7 @@
 final class Popularity {
 
     /** The window of the design page, and its weight of the newest window. */
-    private static final double WINDOW = 5;
-    private static final double ALPHA = 0.4;
+    private static final double WINDOW = 5, ALPHA = 0.4;
     /** Bounds the table; several times what a location's caches hold at the sizes seen. */
     private static final int TABLE = 20_000;
 
--- a/policy/src/main/java/tamarindroute/policy/Rules.java
+++ b/policy/src/main/java/tamarindroute/policy/Rules.java
@@ -28,8 +28,7 @@
 
     /** The oldest copy that will do, at the source too: none from before a purge or past its fresh time. */
     Duration oldest(View view, double now) {
-        double since = now - purgedAt(view);
-        double fresh = seconds(view.profile.fresh());
+        double since = now - purgedAt(view), fresh = seconds(view.profile.fresh());
         return since > purgesBind() || fresh > 0 && fresh < since ? null : span(Math.max(0, since));
     }
 
--- a/policy/src/test/java/tamarindroute/policy/ColdShareTest.java
+++ b/policy/src/test/java/tamarindroute/policy/ColdShareTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.assertj.core.data.Offset;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import tamarindroute.decision.Cache;
@@ -27,6 +29,7 @@
     private static final double WEIGHT = 6;
     /** A view's sending time, which is also the profile's mean from the start: the agreed time. */
     private static final double WORK = 0.3;
+    private static final double STEP = 0.05;
 
     private final Profile profile = new Profile(Profile.Repeat.REISSUABLE, Profile.Group.ALL, Duration.ZERO,
             Duration.ofMillis(300), 2, true, Duration.ZERO);
@@ -111,4 +114,81 @@
         double borne = MULTIPLE * WEIGHT * 15 * (FROM + (1 - FROM) * 15 / WARM / 2);
         assertThat(all / borne).isBetween(0.2, 0.95);
     }
+
+    /** What reached the cold cache in each step of 50 ms, from an age to another: twice what it bears warm is wanted. */
+    private List<Double> steady(List<Brain> wanting, double from, double to) {
+        List<Double> each = new ArrayList<>();
+        for (double age = from; age < to; age += STEP) {
+            double had = 0;
+            for (int i = 0; i < Math.ceil(2 * MULTIPLE * WEIGHT * STEP / WORK); i++) {
+                had += view(wanting.get((objects * 7) % wanting.size()), 10 + age) ? WORK : 0;
+            }
+            each.add(had);
+        }
+        return each;
+    }
+
+    private static double sum(List<Double> each) {
+        return each.stream().mapToDouble(had -> had).sum();
+    }
+
+    /** What a cache bears from an age to another, all gateways together. */
+    private static double borne(double from, double to) {
+        return MULTIPLE * WEIGHT * (to - from) * (FROM + (1 - FROM) * (from + to) / 2 / WARM);
+    }
+
+    private static void deal(List<Brain> to, double part, double age, double until) {
+        to.forEach(brain -> brain.dealt(Cache.Tier.EDGE, part, at(10 + until), at(10 + age)));
+    }
+
+    /** Seven of ten are dead: those left were dealt what the dead held, for 6 s, and have their even share again after. */
+    @Test
+    void whatTheDeadHeldIsUsedAndNoWindowHoldsMoreThanItBears() {
+        fleet(10);
+        List<Brain> left = fleet.subList(0, 3);
+        List<Double> each = steady(left, 0, 4);
+        assertThat(sum(each) / borne(0, 4)).as("with even shares").isBetween(0.15, 0.22);
+        deal(left, 1 / 3.0, 4, 10);
+        List<Double> dealt = steady(left, 4, 10);
+        assertThat(sum(dealt) / borne(4, 10)).as("with what the dead held").isBetween(0.62, 0.72);
+        List<Double> after = steady(left, 10, 16);
+        assertThat(sum(after) / borne(10, 16)).as("after the lease").isBetween(0.18, 0.22);
+        each.addAll(dealt);
+        each.addAll(after);
+        int width = (int) (WINDOW / STEP);
+        for (int end = width; end <= each.size(); end++) {
+            assertThat(sum(each.subList(end - width, end))).as("to the age of %s", end * STEP)
+                    .isLessThan(1.1 * bearable(end * STEP));
+        }
+    }
+
+    /** Parts that go from one to the next do not bring savings with them: each would spend them anew in one window. */
+    @Test
+    void savingsDoNotFollowAPartFromOneToTheNext() {
+        fleet(10);
+        double had = 0;
+        for (int i = 0; i < 10; i++) {
+            double age = 12 + 0.1 * i;
+            deal(fleet, 0.01, age, 20);
+            deal(fleet.subList(i, i + 1), 0.91, age, 20);
+            for (int n = 0; n < 60; n++) {
+                had += view(fleet.get(i), 10 + age + 0.099) ? WORK : 0;
+            }
+        }
+        assertThat(had).isBetween(0.1 * bearable(12), 0.5 * bearable(13));
+    }
+
+    /** Idle through a lease and past its end, a gateway has the savings of its even share, and names never had more. */
+    @Test
+    void savingsAreCutWhenALeaseHasEnded() {
+        fleet(10);
+        deal(fleet, 0.9, 4, 10);
+        double even = fleet.get(0).regard(cold, at(20)).bears();
+        assertThat(even).isCloseTo(0.07 * bearable(10) / WINDOW, Offset.offset(1e-9));
+        double had = 0;
+        for (int n = 0; n < 60; n++) {
+            had += view(fleet.get(0), 10 + 10) ? WORK : 0;
+        }
+        assertThat(had).isLessThan(0.05 * bearable(10));
+    }
 }
--- a/policy/src/test/java/tamarindroute/policy/Scenario.java
+++ b/policy/src/test/java/tamarindroute/policy/Scenario.java
@@ -73,6 +73,8 @@
             }
             case "load" -> brain.loaded(caches.get(words[1]),
                     new Load(whole(facts, "busy", 0) / 100.0), now);
+            case "dealt" -> brain.dealt(Cache.Tier.valueOf(words[1].toUpperCase(Locale.ROOT)),
+                    whole(facts, "part", 0) / 100.0, millis(facts.get("until")), now);
             case "at" -> now = millis(words[1]);
             case "later" -> now = now.plus(millis(words[1]));
             case "purge" -> brain.purged(new Purge(
--- a/router/src/test/java/tamarindroute/host/RosterTest.java
+++ b/router/src/test/java/tamarindroute/host/RosterTest.java
@@ -67,6 +67,9 @@
         @Override
         public void loaded(Cache cache, Load load, Duration now) { }
 
+        @Override
+        public void dealt(Cache.Tier tier, double part, Duration until, Duration now) { }
+
         @Override
         public Regard regard(Cache cache, Duration now) {
             return brain.regard(cache, now);
