Shares carried among members: holder and dealer over letters, parts told to the decisions

Cause: the pure holder and dealer of shares had no way between processes, nor to the decisions.

Datagrams: only an ICMP refusal ends a question as refused; a network that is down on this side was taken for one too.

--- a/members/src/main/java/tamarindroute/members/Endpoint.java
+++ b/members/src/main/java/tamarindroute/members/Endpoint.java
@@ -18,6 +18,7 @@
 import tamarindroute.membership.Membership;
 import tamarindroute.membership.Standing;
 import tamarindroute.net.Datagrams;
+import tamarindroute.net.Ending;
 import tamarindroute.net.Timers;
 import tamarindroute.protocol.MalformedException;
 
@@ -40,6 +41,9 @@
         /** What the feed told another; the same holds. */
         default void news(Member from, Letter.News news) { }
 
+        /** A word about shares; the same holds. */
+        default void lease(Member from, Letter.Lease word) { }
+
         /** A message of the agreement; the same holds. */
         default void agreement(Member from, byte[] bytes) { }
     }
@@ -119,6 +123,30 @@
         send(to.address(), Letter.of(membership.self(), to.birth(), body));
     }
 
+    /**
+     * Asks a machine, from a fresh port, whether anybody listens there; told only if it refuses. Where a proxy stands
+     * between nothing is asked: its refusal would prove nothing.
+     */
+    public void probe(Address to, Letter.Body body, Duration within, Runnable refused) {
+        InetSocketAddress place = settings.ways().containsKey(to) ? null : straight(to);
+        if (left || place == null) {
+            return;
+        }
+        Runnable quit = datagrams.ask(place, post.seal(Letter.of(membership.self(), 0, body)),
+                new Datagrams.Waiting() {
+                    @Override
+                    public void came(byte[] bytes) { }
+
+                    @Override
+                    public void ended(Ending ending) {
+                        if (ending == Ending.REFUSED) {
+                            refused.run();
+                        }
+                    }
+                });
+        timers.after(within, quit);
+    }
+
     private void taken(byte[] bytes, InetSocketAddress from) {
         if (left) {
             return;
@@ -141,6 +169,8 @@
                 listener.news(letter.sender(), news);
             } else if (letter.body() instanceof Letter.Agreement agreement) {
                 listener.agreement(letter.sender(), agreement.bytes());
+            } else if (letter.body() instanceof Letter.Lease lease) {
+                listener.lease(letter.sender(), lease);
             }
         }
     }
--- a/members/src/main/java/tamarindroute/members/wire/Envelopes.java
+++ b/members/src/main/java/tamarindroute/members/wire/Envelopes.java
@@ -2,12 +2,15 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Pattern;
 import tamarindroute.members.wire.form.Envelope;
 import tamarindroute.members.wire.form.Event;
 import tamarindroute.members.wire.form.Kind;
+import tamarindroute.members.wire.form.Lease;
+import tamarindroute.members.wire.form.LeaseKind;
 import tamarindroute.members.wire.form.Life;
 import tamarindroute.members.wire.form.News;
 import tamarindroute.members.wire.form.Said;
@@ -55,6 +58,10 @@
             envelope.setNews(News.newBuilder().setLast(news.last()).addAllEvents(news.events().stream()
                     .map(one -> Event.newBuilder().setNumber(one.number()).setBefore((int) one.before())
                             .setText(one.text()).build()).toList()));
+        } else if (letter.body() instanceof Letter.Lease lease) {
+            envelope.setLease(Lease.newBuilder().setGroup(lease.group()).setBirth(lease.birth())
+                    .setKind(LeaseKind.valueOf("LEASE_" + lease.kind().name())).setNumber(lease.number())
+                    .setPart(lease.part()).setLengthMs((int) lease.length().toMillis()));
         }
         byte[] bytes = envelope.build().toByteArray();
         if (bytes.length > LARGEST) {
@@ -120,6 +127,7 @@
             case FACTS -> new Letter.Facts(envelope.getFacts().toByteArray());
             case AGREEMENT -> new Letter.Agreement(envelope.getAgreement().toByteArray());
             case NEWS -> news(envelope.getNews());
+            case LEASE -> lease(envelope.getLease());
             case BODY_NOT_SET -> throw new MalformedException("no body that is known here");
         });
     }
@@ -140,6 +148,16 @@
         return new Letter.News(natural("number", news.getLast()), events);
     }
 
+    private static Letter.Lease lease(Lease lease) throws MalformedException {
+        if (lease.getKind() == LeaseKind.LEASE_NONE || lease.getKind() == LeaseKind.UNRECOGNIZED) {
+            throw new MalformedException("a word on shares of an unknown kind, " + lease.getKindValue());
+        }
+        return new Letter.Lease((int) natural("group", lease.getGroup()),
+                Letter.LeaseKind.valueOf(lease.getKind().name().substring("LEASE_".length())),
+                natural("birth", lease.getBirth()), natural("number", lease.getNumber()),
+                natural("part", lease.getPart()), Duration.ofMillis(natural("length", lease.getLengthMs())));
+    }
+
     private static Message message(Said said, Member sender, long toBirth) throws MalformedException {
         if (said.getKind() == Kind.KIND_NONE || said.getKind() == Kind.UNRECOGNIZED) {
             throw new MalformedException("an unknown kind, " + said.getKindValue());
--- a/members/src/main/java/tamarindroute/members/wire/Letter.java
+++ b/members/src/main/java/tamarindroute/members/wire/Letter.java
@@ -1,5 +1,6 @@
 package tamarindroute.members.wire;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import tamarindroute.membership.Member;
@@ -15,7 +16,7 @@
 public record Letter(int lowest, int highest, Member sender, long toBirth, Body body) {
 
     /** What it carries; one kind a letter. */
-    public sealed interface Body permits Said, Facts, Agreement, News { }
+    public sealed interface Body permits Said, Facts, Agreement, News, Lease { }
 
     /** Who is there; its sender and the life it is meant for are the letter's. */
     public record Said(Message message) implements Body { }
@@ -61,6 +62,20 @@
     /** One event of the feed, as its JSON; before is the CRC-32 of the one that came before it. */
     public record Event(long number, long before, String text) { }
 
+    /** What a word about shares is. */
+    public enum LeaseKind { ASK, GRANT, GIVE_BACK, LEAVE, PROBE }
+
+    /**
+     * A word of a holder or a dealer of shares.
+     *
+     * @param group which bound is shared
+     * @param birth the holder's
+     * @param number of the holder's asking that it is about
+     * @param part granted, in millionths, for so long
+     */
+    public record Lease(int group, LeaseKind kind, long birth, long number, long part, Duration length)
+            implements Body { }
+
     /** Of this program's own form levels. */
     public static Letter of(Member sender, long toBirth, Body body) {
         return new Letter(Envelopes.LOWEST, Envelopes.HIGHEST, sender, toBirth, body);
--- a/members/src/test/java/tamarindroute/members/wire/EnvelopesTest.java
+++ b/members/src/test/java/tamarindroute/members/wire/EnvelopesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -39,7 +40,11 @@
         Arbitrary<Letter> said = Combinators.combine(Arbitraries.of(Message.Kind.values()), members, numbers, numbers,
                 members, rumours.list().ofMaxSize(24)).as(Message::new).map(Letter::of);
         Arbitrary<byte[]> bytes = Arbitraries.bytes().array(byte[].class).ofMaxSize(3000);
+        Arbitrary<Letter.Lease> leases = Combinators.combine(Arbitraries.integers().between(0, Integer.MAX_VALUE),
+                Arbitraries.of(Letter.LeaseKind.values()), numbers, numbers, numbers,
+                Arbitraries.integers().between(0, Integer.MAX_VALUE).map(ms -> Duration.ofMillis(ms))).as(Letter.Lease::new);
         return Arbitraries.oneOf(said,
+                Combinators.combine(members, numbers, leases).as((m, n, l) -> Letter.of(m, n, l)),
                 Combinators.combine(members, numbers, bytes).as((m, n, b) -> Letter.of(m, n, new Letter.Facts(b))),
                 Combinators.combine(members, numbers, bytes).as((m, n, b) -> Letter.of(m, n, new Letter.Agreement(b))));
     }
--- a/net/src/main/java/tamarindroute/net/Datagrams.java
+++ b/net/src/main/java/tamarindroute/net/Datagrams.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.PortUnreachableException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Iterator;
@@ -255,7 +256,9 @@
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
             Question question = of(session);
-            timers.handOver(() -> question.end(cause instanceof IOException ? Ending.REFUSED : Ending.UNREACHABLE));
+            // A network that is down on this side fails as IOException too; that is no other machine's word.
+            timers.handOver(() -> question.end(cause instanceof PortUnreachableException ? Ending.REFUSED
+                    : Ending.UNREACHABLE));
         }
     }
 
--- a/router/src/main/java/tamarindroute/host/Instance.java
+++ b/router/src/main/java/tamarindroute/host/Instance.java
@@ -1,7 +1,9 @@
 package tamarindroute.host;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
+import tamarindroute.decision.Cache;
 import tamarindroute.decision.Decisions;
 import tamarindroute.log.Log;
 import tamarindroute.net.CacheLine;
@@ -21,6 +23,7 @@
     /** Connections to one cache: enough that a large answer does not stop the others, few enough to share. */
     private static final int FEW = 4;
 
+    private final List<Decisions> modules;
     private final Clock clock;
     private Config config;
     private final Pool pool;
@@ -32,6 +35,7 @@
     /** The modules hear all that the feed tells; most fronts have one. */
     public Instance(Config config, Clock clock, List<Decisions> modules) throws MalformedSettingsException {
         this.config = config;
+        this.modules = List.copyOf(modules);
         this.clock = clock;
         SettingsReader settings = config.settings();
         pool = new Pool(config.memory());
@@ -80,6 +84,12 @@
         }
     }
 
+    /** This instance's part of what each cold cache of a tier bears, from now on for so long; the even share after it. */
+    public void dealt(Cache.Tier tier, double part, Duration span) {
+        Duration now = clock.now();
+        modules.forEach(module -> module.dealt(tier, part, now.plus(span), now));
+    }
+
     /** Follows the feed from the last event on. */
     public void follow() {
         feed.start();
