Shares: dealt by whoever provably leads the agreed view

Cause: a library's word that it leads may be old, and two that deal at once pass the bound.

Agreement.term, Agreed.leader; Sharing joins them beside the endpoint; Members takes the bounds that are shared (none by default).

--- a/agreement/src/main/java/tamarindroute/agreement/Agreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/Agreement.java
@@ -46,6 +46,9 @@
 
     State state();
 
+    /** The number of the lead that this voter knows of, its own or another's; a later one is greater. */
+    long term();
+
     /** Takes in a voter, or puts one out; one change at a time. A lost one is put out once its successor is in. */
     void change(Member voter, boolean in, Consumer<Outcome> outcome);
 
--- a/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/RaftAgreement.java
@@ -215,6 +215,11 @@
         return state;
     }
 
+    @Override
+    public long term() {
+        return node.getTerm().getTerm();
+    }
+
     Optional<Member> leader() {
         return Optional.ofNullable(node.getTerm().getLeaderEndpoint()).map(Seat::of);
     }
--- a/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
+++ b/agreement/src/main/java/tamarindroute/agreement/raft/Voter.java
@@ -201,6 +201,11 @@
                 : running.state();
     }
 
+    @Override
+    public long term() {
+        return running == null ? 0 : running.term();
+    }
+
     @Override
     public void change(Member voter, boolean in, Consumer<Outcome> outcome) {
         if (running == null) {
--- a/members/src/main/java/tamarindroute/members/Members.java
+++ b/members/src/main/java/tamarindroute/members/Members.java
@@ -7,8 +7,10 @@
 import tamarindroute.host.Instance;
 import tamarindroute.host.Roster;
 import tamarindroute.members.agreed.Agreed;
+import tamarindroute.members.shares.Shared;
 import tamarindroute.members.wire.Letter;
 import tamarindroute.membership.Member;
+import tamarindroute.membership.Standing;
 import tamarindroute.net.Datagrams;
 import tamarindroute.protocol.MalformedException;
 
@@ -16,12 +18,20 @@
 public final class Members implements Companion, Endpoint.Listener, FeedNews.Others {
 
     private final MembersSettings settings;
+    private final List<Shared> shared;
     private Endpoint endpoint;
     private FeedNews news;
     private Agreed agreed;
+    private Sharing sharing;
 
     public Members(MembersSettings settings) {
+        this(settings, List.of());
+    }
+
+    /** With bounds that are shared under the agreed view; all are told them alike, and the decisions as many gateways. */
+    public Members(MembersSettings settings, List<Shared> shared) {
         this.settings = settings;
+        this.shared = List.copyOf(shared);
     }
 
     @Override
@@ -47,6 +57,9 @@
             agreed = new Agreed(instance.clock(), settings.name(), settings.voters(), settings.store(),
                     new Beside(endpoint));
             agreed.start();
+            if (!shared.isEmpty()) {
+                sharing = new Sharing(instance.clock(), endpoint, agreed, instance::dealt, shared);
+            }
         }
     }
 
@@ -57,6 +70,20 @@
         }
     }
 
+    @Override
+    public void became(Member about, Standing standing) {
+        if (sharing != null) {
+            sharing.became(about, standing);
+        }
+    }
+
+    @Override
+    public void lease(Member from, Letter.Lease word) {
+        if (sharing != null) {
+            sharing.received(from, word);
+        }
+    }
+
     @Override
     public void news(Member from, Letter.News told) {
         news.taken(from, told);
@@ -76,6 +103,9 @@
 
     @Override
     public void stopping() {
+        if (sharing != null) {
+            sharing.stop();
+        }
         if (agreed != null) {
             agreed.close();
         }
--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -102,6 +102,11 @@
         return holding.held(Steady.now());
     }
 
+    /** Where the leader is, as voters told last; it may lead no more. */
+    public Optional<Address> leader() {
+        return holding.leader();
+    }
+
     /** The agreement itself, where this one votes and its store is open. */
     public Optional<Agreement> agreement() {
         return voting.flatMap(Voting::agreement);
