--- a/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
+++ b/agreement/src/test/java/tamarindroute/agreement/raft/ClusterTest.java
@@ -197,7 +197,10 @@
         assertThat(world.breaches).isEmpty();
     }
 
-    /** It runs outside the group, which has not yet taken it in; what was meant for its former self it does not answer. */
+    /**
+     * It runs outside the group, which has not yet taken it in; what was meant for its former self it does not
+     * answer.
+     */
     @Test
     void whatIsMeantForAFormerSelfIsNotAnswered() {
         World world = new World(12, 3);
@@ -322,6 +325,22 @@
         }
     }
 
+    /** Seed 7 left two voters without a leader for good, see RaftAgreement's STUCK. */
+    @Test
+    void afterLostMessagesTheOthersFindALeaderAgain() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, 3);
+            world.awaitLeader();
+            world.loss = 20;
+            world.node(3).hold(world.told());
+            world.run(Duration.ofSeconds(20 + world.chance(5)));
+            world.awaitLeader().kill();
+            assertThat(world.until(Duration.ofSeconds(40), () -> world.leader().isPresent()))
+                    .as("seed " + seed).isTrue();
+            assertThat(world.breaches).isEmpty();
+        }
+    }
+
     @Test
     void snapshotsBringOneThatWasLongAway() {
         World world = new World(6, 3);
