Shares under the agreed view: five over UDP, the leader killed, the next one deals

Change: the test joins Sharing to the agreed view of three voters; Holding.leader is there once. Measured: two of five dead, the three left use a third each; the leader killed, 0.2 each while nobody deals, then 0.5 each. The sum of all in use never passes 1.

--- a/members/src/main/java/tamarindroute/members/agreed/Holding.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Holding.java
@@ -40,10 +40,6 @@
         return leased.held(now);
     }
 
-    Optional<Address> leader() {
-        return leader.map(Member::address);
-    }
-
     void tick(Duration now) {
         tell(now);
         if (leased.due(now, LEASE)) {
--- a/members/src/test/java/tamarindroute/members/SharesTest.java
+++ b/members/src/test/java/tamarindroute/members/SharesTest.java
@@ -5,6 +5,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,16 +18,19 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import tamarindroute.decision.Cache;
 import tamarindroute.host.Clock;
 import tamarindroute.host.Steady;
+import tamarindroute.members.agreed.Agreed;
 import tamarindroute.members.shares.Shared;
 import tamarindroute.members.shares.Shares;
 import tamarindroute.members.wire.Letter;
 import tamarindroute.membership.Address;
 import tamarindroute.membership.Member;
+import tamarindroute.membership.Standing;
 import tamarindroute.net.Datagrams;
 import tamarindroute.protocol.Seal;
 import tamarindroute.shares.Bound;
@@ -47,38 +51,28 @@
         }
     }
 
-    private final class Gateway implements Shares.Others, Endpoint.Listener {
+    /** A gateway's thread, socket and decisions, these as the list of what they were told. */
+    private abstract class Process implements Endpoint.Listener {
         final Clock clock = new Clock();
         final Datagrams datagrams = new Datagrams(clock);
         final List<Told> history = Collections.synchronizedList(new ArrayList<>());
         final Endpoint endpoint;
-        final Beside beside;
-        final Shares shares;
         volatile boolean cut;
-        volatile boolean leads;
         volatile Duration ended;
 
-        Gateway(Town town, int place, long birth) throws Exception {
-            Address own = MembersSettings.address(town.places.get(place));
-            endpoint = new Endpoint(clock, datagrams, new MembersSettings(town.places.get(place), own, null,
-                    new Seal(Map.of(1, Town.KEY), 1), List.of(), List.of(), Map.of(), Town.FAST), birth, this);
-            beside = new Beside(endpoint);
-            Set<Address> told = new HashSet<>(town.places.stream().map(MembersSettings::address).toList());
-            shares = new Shares(clock, this, this::dealt, List.of(new Shared(1, Cache.Tier.EDGE, BOUND, told)));
+        Process(Town town, int place, long birth, List<Address> seeds) {
+            endpoint = new Endpoint(clock, datagrams, new MembersSettings(town.places.get(place),
+                    MembersSettings.address(town.places.get(place)), null, new Seal(Map.of(1, Town.KEY), 1), seeds,
+                    List.of(), Map.of(), Town.FAST), birth, this);
             gateways.add(this);
-            Town.on(clock, () -> {
-                endpoint.start();
-                shares.start();
-                return null;
-            });
         }
 
-        private void dealt(Cache.Tier tier, double part, Duration span) {
+        final void dealt(Cache.Tier tier, double part, Duration span) {
             Duration now = Steady.now();
             history.add(new Told(now, part, now.plus(span)));
         }
 
-        double inUse(Duration now) {
+        final double inUse(Duration now) {
             if (ended != null && ended.compareTo(now) <= 0) {
                 return 0;
             }
@@ -88,10 +82,47 @@
             }
         }
 
-        double now() {
+        final double now() {
             return inUse(Steady.now());
         }
 
+        /** At once: what it uses ends before its socket does, as with a process. */
+        void kill() throws Exception {
+            Town.on(clock, () -> {
+                ended = Steady.now();
+                cut = true;
+                endpoint.leave();
+                return null;
+            });
+            datagrams.shutDown();
+        }
+    }
+
+    private static List<Shared> shared(Town town) {
+        return List.of(new Shared(1, Cache.Tier.EDGE, BOUND, new HashSet<>(addresses(town, SIZE))));
+    }
+
+    private static List<Address> addresses(Town town, int first) {
+        return town.places.subList(0, first).stream().map(MembersSettings::address).toList();
+    }
+
+    /** One that is told who leads by the test. */
+    private final class Gateway extends Process implements Shares.Others {
+        final Beside beside;
+        final Shares shares;
+        volatile boolean leads;
+
+        Gateway(Town town, int place, long birth) throws Exception {
+            super(town, place, birth, List.of());
+            beside = new Beside(endpoint);
+            shares = new Shares(clock, this, this::dealt, shared(town));
+            Town.on(clock, () -> {
+                endpoint.start();
+                shares.start();
+                return null;
+            });
+        }
+
         @Override
         public Member self() {
             return beside.self();
@@ -106,7 +137,7 @@
 
         @Override
         public void probe(Address place, Letter.Lease word, Duration within, Runnable refused) {
-            if (lying && gateways.stream().anyMatch(one -> one.cut && one.self().address().equals(place))) {
+            if (lying && gateways.stream().anyMatch(one -> one.cut && one.endpoint.self().address().equals(place))) {
                 refused.run();
             }
             beside.probe(place, word, within, refused);
@@ -123,8 +154,8 @@
         void lead(long number) throws Exception {
             leads = true;
             Member self = Town.on(clock, endpoint::self);
-            for (Gateway one : gateways) {
-                one.clock.handOver(() -> one.shares.leader(self));
+            for (Process one : gateways) {
+                one.clock.handOver(() -> ((Gateway) one).shares.leader(self));
             }
             clock.handOver(() -> goOn(number));
         }
@@ -136,36 +167,82 @@
             }
         }
 
-        /** At once: what it uses ends before its socket does, as with a process. */
+        @Override
         void kill() throws Exception {
+            leads = false;
+            super.kill();
+        }
+
+        void leave() throws Exception {
             Town.on(clock, () -> {
+                shares.stop();
                 ended = Steady.now();
-                leads = false;
-                cut = true;
                 endpoint.leave();
                 return null;
             });
-            datagrams.shutDown();
         }
+    }
 
-        void leave() throws Exception {
+    /** One of several that agree who leads; the first three vote. */
+    private final class Agreeing extends Process {
+        private Agreed agreed;
+        private Sharing sharing;
+
+        Agreeing(Town town, int place, Path store) throws Exception {
+            super(town, place, 1_000, place == 0 ? List.of() : addresses(town, 1));
             Town.on(clock, () -> {
-                shares.stop();
-                ended = Steady.now();
-                endpoint.leave();
+                endpoint.start();
+                agreed = new Agreed(clock, addresses(town, SIZE).get(place), addresses(town, 3), store,
+                        new Beside(endpoint));
+                agreed.start();
+                sharing = new Sharing(clock, endpoint, agreed, this::dealt, shared(town));
+                return null;
+            });
+        }
+
+        boolean leads() throws Exception {
+            return Town.on(clock, () -> agreed.agreement().map(one -> one.state().leads()).orElse(false));
+        }
+
+        @Override
+        public void became(Member about, Standing standing) {
+            if (sharing != null) {
+                sharing.became(about, standing);
+            }
+        }
+
+        @Override
+        public void agreement(Member from, byte[] bytes) {
+            if (agreed != null) {
+                agreed.received(from, bytes);
+            }
+        }
+
+        @Override
+        public void lease(Member from, Letter.Lease word) {
+            if (sharing != null) {
+                sharing.received(from, word);
+            }
+        }
+
+        @Override
+        void kill() throws Exception {
+            super.kill();
+            Town.on(clock, () -> {
+                agreed.close();
                 return null;
             });
         }
     }
 
-    private final List<Gateway> gateways = Collections.synchronizedList(new ArrayList<>());
+    private final List<Process> gateways = Collections.synchronizedList(new ArrayList<>());
     private boolean lying;
 
     /** The most that was in use at any moment: sums change only where a part is told, ends or its gateway does. */
     private double most() {
         Set<Duration> moments = new TreeSet<>();
-        List<Gateway> all = new ArrayList<>(gateways);
-        for (Gateway one : all) {
+        List<Process> all = new ArrayList<>(gateways);
+        for (Process one : all) {
             synchronized (one.history) {
                 one.history.forEach(told -> moments.addAll(List.of(told.at, told.until)));
             }
@@ -175,35 +252,37 @@
                 .mapToDouble(at -> all.stream().mapToDouble(one -> one.inUse(at)).sum()).max().orElse(0);
     }
 
-    private void started(Town town) throws Exception {
+    private List<Gateway> started(Town town) throws Exception {
+        List<Gateway> all = new ArrayList<>();
         for (int i = 0; i < SIZE; i++) {
-            new Gateway(town, i, 1_000);
+            all.add(new Gateway(town, i, 1_000));
         }
+        return all;
     }
 
     private void close() throws Exception {
-        for (Gateway one : new ArrayList<>(gateways)) {
+        for (Process one : new ArrayList<>(gateways)) {
             one.kill();
         }
     }
 
-    private static void reaches(Gateway one, double part) throws Exception {
+    private static void reaches(Process one, double part) throws Exception {
         Town.await(() -> Math.abs(one.now() - part) < 1e-4);
     }
 
     @Test
     void whatTheDeadHeldIsUsedNeverTooMuchAndNothingOfItOnceTheDealerIsLost() throws Exception {
         try (Town town = new Town(SIZE)) {
-            started(town);
-            Gateway dealer = gateways.get(0);
-            Gateway second = gateways.get(1);
+            List<Gateway> all = started(town);
+            Gateway dealer = all.get(0);
+            Gateway second = all.get(1);
             assertThat(dealer.now()).as("quiet at first").isZero();
             dealer.lead(1);
-            for (Gateway one : gateways) {
+            for (Gateway one : all) {
                 reaches(one, EVEN);
             }
             for (int i = 2; i < SIZE; i++) {
-                gateways.get(i).kill();
+                all.get(i).kill();
             }
             reaches(dealer, 0.5);
             reaches(second, 0.5);
@@ -229,18 +308,18 @@
     void whoIsSilentKeepsItsShare(boolean asIfRefused) throws Exception {
         lying = asIfRefused;
         try (Town town = new Town(SIZE)) {
-            started(town);
-            gateways.get(0).lead(1);
-            for (Gateway one : gateways) {
+            List<Gateway> all = started(town);
+            all.get(0).lead(1);
+            for (Gateway one : all) {
                 reaches(one, EVEN);
             }
-            gateways.get(4).cut = true;
+            all.get(4).cut = true;
             TimeUnit.MILLISECONDS.sleep(2_500);
             if (asIfRefused) {
                 assertThat(most()).isGreaterThan(1.1);
             } else {
                 assertThat(most()).isBetween(0.99, 1 + 1e-9);
-                for (Gateway one : gateways) {
+                for (Gateway one : all) {
                     assertThat(one.now()).isEqualTo(EVEN);
                 }
             }
@@ -249,6 +328,39 @@
         }
     }
 
+    /** The leader that is agreed deals; once it is killed the next does, after the first one's time and a length. */
+    @Test
+    void whoeverLeadsTheAgreedViewDeals(@TempDir Path folder) throws Exception {
+        try (Town town = new Town(SIZE)) {
+            List<Agreeing> all = new ArrayList<>();
+            for (int i = 0; i < SIZE; i++) {
+                all.add(new Agreeing(town, i, folder.resolve("" + i)));
+            }
+            // Of those that don't vote both die.
+            all.remove(4).kill();
+            all.remove(3).kill();
+            for (Agreeing one : all) {
+                reaches(one, 1.0 / 3);
+            }
+            for (Agreeing one : List.copyOf(all)) {
+                if (one.leads()) {
+                    all.remove(one);
+                    one.kill();
+                }
+            }
+            assertThat(all).hasSize(2);
+            for (Agreeing one : all) {
+                reaches(one, EVEN);
+            }
+            for (Agreeing one : all) {
+                reaches(one, 0.5);
+            }
+            assertThat(most()).isBetween(0.99, 1 + 1e-9);
+        } finally {
+            close();
+        }
+    }
+
     /** A proxy that refuses says nothing of the machine behind it. */
     @Test
     void onlyTheMachineItselfIsAskedWhetherAnybodyListens() throws Exception {
