--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -121,8 +121,8 @@
         proposing.propose(command, leader(), outcome, Steady.now());
     }
 
-    /** A voter knows sooner than whoever only asks; it may lead itself. */
-    private Optional<Address> leader() {
+    /** Where the leader is, as known here; it may lead no more. A voter knows sooner than whoever only asks. */
+    public Optional<Address> leader() {
         Optional<Agreement> own = agreement();
         return own.isPresent() ? own.get().state().leader().map(Member::address) : holding.leader();
     }
@@ -132,11 +132,6 @@
         return holding.held(Steady.now());
     }
 
-    /** Where the leader is, as voters told last; it may lead no more. */
-    public Optional<Address> leader() {
-        return holding.leader();
-    }
-
     /** The agreement itself, where this one votes and its store is open. */
     public Optional<Agreement> agreement() {
         return voting.flatMap(Voting::agreement);
