--- a/members/src/main/java/tamarindroute/members/agreed/Agreed.java
+++ b/members/src/main/java/tamarindroute/members/agreed/Agreed.java
@@ -121,7 +121,7 @@
         proposing.propose(command, leader(), outcome, Steady.now());
     }
 
-    /** Where the leader is, as known here; it may lead no more. A voter knows sooner than whoever only asks. */
+    /** Where the leader was last; it may lead no more. A voter knows sooner than whoever only asks; it may lead itself. */
     public Optional<Address> leader() {
         Optional<Agreement> own = agreement();
         return own.isPresent() ? own.get().state().leader().map(Member::address) : holding.leader();
