An attempt that waited for its connection is begun only as it could be decided now

Cause: what waits for a connection (up to its time to come up) was written with the fields of its decision, and asked only "trip.cache.standing == READY && trip.source.standing == READY". A purge told meanwhile (its `accept`, or its absence, admits a copy from before it), a cache started anew (nothing was taken from its cold share), the window of another attempt that may have run, a view that is over, and `ttl` were passed over. Change: `Decisions.mayStillGo`, asked as the request is written; `Rules.mayStillGo` answers by drain, start anew, purge, deadline and window. If not, the attempt ends as NOT_SENT and the module places the view again. Fields are made as they are written. `trip.sent` stays the time of the decision: windows end earlier by it, never later. A start anew is known by what the trip notes of both caches when it is made.

Connections to caches, found on the way: - "hasLeft(request.end)" was believed where this gateway ends the connection, though MINA's thread may be in the midst of writing and tells so only later: such a request may have run. - "setAttributeIfAbsent(WHY, why(cause))" called a connection that was up unreachable by the words of an error (network unreachable), after which all that was written had "never run": now a reset. - What waited on a connection that this gateway lets go spoke against the cache (UNREACHED): now NOT_SENT. - opened() wrote requests that the end of another had given up in the same turn. - A second copy of a miss, read with the first, was taken for the next leg's answer, and proved that this one never ran: an answer read before a request was written is not its answer. A cache that has answered twice gets the next leg on another connection for its next 200 answers. - "connection.close(LET_GO, true)" flushed requests that were given up and could not leave to a cache that hangs. - Frames that nobody asked for could come without end, and an answer nobody waits for any more byte by byte: the connection is ended after 600 in a row, or 3 s.

--- a/decision/src/main/java/tamarindroute/decision/Decisions.java
+++ b/decision/src/main/java/tamarindroute/decision/Decisions.java
@@ -16,6 +16,9 @@
     /** What follows after this trip's outcome; when the view is over, the answer can only be a recall. */
     Answer after(View view, Trip trip, Duration now);
 
+    /** Whether a trip that had to wait for its connection may be begun now; if not, its outcome is NOT_SENT. */
+    boolean mayStillGo(View view, Trip trip, Duration now);
+
     /** How long to wait before asking for a place again; null if only an outcome matters. */
     Duration patience(View view, Duration now);
 
--- a/decision/src/main/java/tamarindroute/decision/Trip.java
+++ b/decision/src/main/java/tamarindroute/decision/Trip.java
@@ -18,6 +18,9 @@
      * When it should have come back, and the gateway asks for a place again if it has not; null for never.
      */
     public final Duration due;
+    /** When the processes of both had started, as far as was told when this was decided. */
+    public final Duration cacheUpSince;
+    public final Duration sourceUpSince;
 
     public Duration sent;
     public Outcome outcome;
@@ -31,5 +34,7 @@
         this.onlyHeld = onlyHeld;
         this.renew = renew;
         this.due = due;
+        this.cacheUpSince = cache.upSince;
+        this.sourceUpSince = source.upSince;
     }
 }
--- a/net/src/main/java/tamarindroute/net/Asked.java
+++ b/net/src/main/java/tamarindroute/net/Asked.java
@@ -6,7 +6,7 @@
 /** Who waits for the answer to one request to a cache; called on the owner's thread. */
 public interface Asked {
 
-    /** Whether the request may go out still, now that the connection it waited for is up. */
+    /** Whether the request may go out still, now that the connection it waited for is up; asked as it is written. */
     default boolean stillWanted() {
         return true;
     }
@@ -20,6 +20,6 @@
     /** The answer is whole. */
     void whole();
 
-    /** The connection ended before the answer was whole; written is whether the request had left whole. */
+    /** The connection ended before the answer was whole; written is whether it may have left whole. */
     void ended(Ending ending, boolean written);
 }
--- a/net/src/main/java/tamarindroute/net/CacheLine.java
+++ b/net/src/main/java/tamarindroute/net/CacheLine.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.log.Log;
 import tamarindroute.protocol.Fields;
@@ -41,6 +42,18 @@
     /** Far more than a connection has given up in the time in which one view can be sent again. */
     private static final int MOST_QUIT = 500;
 
+    /** So many frames in a row that nobody waits for are noise, not late answers, and come for ever. */
+    private static final int MOST_UNASKED = MOST_QUIT + 100;
+
+    /** Whoever has answered twice is not trusted for so many answers more: spoilt caches do it to some in a hundred. */
+    private static final int DOUBTED = 200;
+
+    /** Of those ids so many are remembered: one is asked again at once, or not for long. */
+    private static final int MOST_ANSWERED = 64;
+
+    /** An answer that comes at all comes within the longest deadline, which the protocol bounds by this. */
+    private static final Duration LONGEST_ANSWER = Duration.ofSeconds(3);
+
     /** An answer that rests for this gateway's own sake is looked at again after this. */
     private static final Duration SOON = Duration.ofMillis(20);
 
@@ -54,6 +67,8 @@
     private final Limits limits;
     private final List<Link> links = new ArrayList<>();
     private boolean letGo;
+    /** How many answers more it is taken to answer twice; 0 for a cache that has not done so lately. */
+    private int doubted;
 
     public CacheLine(Sockets sockets, Timers timers, String name, InetSocketAddress address, Limits limits) {
         this.sockets = sockets;
@@ -71,8 +86,8 @@
         return letGo;
     }
 
-    /** Sends a request; what is returned gives it up, unless it is over. */
-    public Runnable ask(String id, String fields, Iterable<IoBuffer> body, int length, Asked asked) {
+    /** Sends a request, with its fields as they are when it is written; what is returned gives it up, unless over. */
+    public Runnable ask(String id, Supplier<String> fields, Iterable<IoBuffer> body, int length, Asked asked) {
         Link link = pick(id);
         link.ask(id, new Request(asked, fields, body, length));
         return () -> link.quit(id, asked);
@@ -125,13 +140,15 @@
     private static final class Request {
         final Asked asked;
         final boolean probe;
-        String fields;
+        Supplier<String> fields;
         Iterable<IoBuffer> body;
         final int length;
         long end = Long.MAX_VALUE;
         Duration writtenAt;
+        /** The read that was the last to be looked at when it was written. */
+        long writtenIn;
 
-        Request(Asked asked, String fields, Iterable<IoBuffer> body, int length) {
+        Request(Asked asked, Supplier<String> fields, Iterable<IoBuffer> body, int length) {
             this.asked = asked;
             this.probe = fields == null;
             this.fields = fields;
@@ -150,13 +167,23 @@
         private Duration heardAt = Duration.ZERO;
         /** A request was given up here and nothing at all has come since it was written. */
         private boolean mute;
+        /** What was given up here last had not left by then. */
+        private boolean stuck;
         private final Map<String, Request> open = new LinkedHashMap<>();
         /** Given up here; a late answer must not be taken for that of a later request of the same id. */
         private final Set<String> quit = new LinkedHashSet<>();
+        /** Answered here by a cache that answers twice; empty for any other. */
+        private final Set<String> answered = new LinkedHashSet<>();
         private final RespReader reader = new RespReader(ANSWER_WORDS, LONGEST_WORD, LONGEST_BODY);
         private Runnable stallTimer;
         private Request answering;
         private String answeringId;
+        /** The reads looked at so far, and in which of them the answer under way began. */
+        private long reads;
+        private long beganIn;
+        /** Since when nobody waits for the answer under way, as far as it is known whose it is. */
+        private Duration unwantedSince;
+        private int unasked;
 
         void connect() {
             connection = sockets.connect(address, this);
@@ -174,7 +201,7 @@
         }
 
         boolean knows(String id) {
-            return open.containsKey(id) || quit.contains(id);
+            return open.containsKey(id) || quit.contains(id) || answered.contains(id);
         }
 
         void ask(String id, Request request) {
@@ -187,13 +214,14 @@
         private void write(String id, Request request) {
             usedAt = timers.now();
             request.writtenAt = usedAt;
+            request.writtenIn = reads;
             if (request.probe) {
                 connection.write(RespWriter.frame("INFO", id));
                 request.end = connection.written();
                 return;
             }
             ArrayDeque<IoBuffer> frame = new ArrayDeque<>();
-            Connection.copy(RespWriter.opening(request.length, "ASK", id, request.fields), sockets.pool(), frame);
+            Connection.copy(RespWriter.opening(request.length, "ASK", id, request.fields.get()), sockets.pool(), frame);
             for (IoBuffer part : request.body) {
                 Connection.copy(part.buf().duplicate(), sockets.pool(), frame);
             }
@@ -211,6 +239,7 @@
             }
             open.remove(id);
             if (up && request.end != Long.MAX_VALUE) {
+                stuck = !connection.hasLeft(request.end);
                 if (!request.probe) {
                     connection.write(RespWriter.frame("QUIT", id));
                 }
@@ -224,6 +253,7 @@
             }
             if (request == answering) {
                 answering = null;
+                unwantedSince = timers.now();
                 connection.resume();
             }
             closeIfDone();
@@ -235,9 +265,10 @@
             return up && open.isEmpty() ? usedAt : null;
         }
 
+        /** What was given up and could not leave a mute connection stays here, or it would run long after. */
         void closeIfDone() {
             if ((letGo || mute) && open.isEmpty()) {
-                connection.close(Ending.LET_GO, true);
+                connection.close(Ending.LET_GO, !(mute && stuck));
             }
         }
 
@@ -247,10 +278,16 @@
             upTimer.run();
             usedAt = timers.now();
             for (Map.Entry<String, Request> waiting : List.copyOf(open.entrySet())) {
-                if (waiting.getValue().asked.stillWanted()) {
-                    write(waiting.getKey(), waiting.getValue());
-                } else if (open.remove(waiting.getKey(), waiting.getValue())) {
-                    waiting.getValue().asked.ended(Ending.OVERTAKEN, false);
+                Request request = waiting.getValue();
+                // The end of one that waited here may have been the end of another, too.
+                if (open.get(waiting.getKey()) != request) {
+                    continue;
+                }
+                if (request.asked.stillWanted()) {
+                    write(waiting.getKey(), request);
+                } else {
+                    open.remove(waiting.getKey());
+                    request.asked.ended(Ending.OVERTAKEN, false);
                 }
             }
             closeIfDone();
@@ -260,8 +297,13 @@
         public void received(ByteBuffer bytes) {
             heardAt = connection.readAt();
             mute = false;
+            reads++;
             try {
                 while (!connection.paused()) {
+                    if (reader.atRest()) {
+                        beganIn = reads;
+                        unwantedSince = heardAt;
+                    }
                     switch (reader.next(bytes)) {
                         case MORE -> {
                             if (stallTimer == null && !reader.atRest()) {
@@ -286,7 +328,8 @@
 
         /**
          * An answer that stopped short keeps all behind it from coming, so its connection is of no further use.
-         * A cache that is there goes on within the time in which one that is there lets a connection come up.
+         * A cache that is there goes on within the time in which one that is there lets a connection come up; and
+         * what nobody waits for any more must not go on for ever.
          */
         private void stalled() {
             stallTimer = null;
@@ -294,6 +337,10 @@
                 return;
             }
             Duration left = limits.upWithin().minus(timers.now().minus(heardAt));
+            if (unwantedSince != null) {
+                Duration whole = LONGEST_ANSWER.minus(timers.now().minus(unwantedSince));
+                left = whole.compareTo(left) < 0 ? whole : left;
+            }
             if (connection.paused() || connection.hasUnused() || left.compareTo(Duration.ZERO) > 0) {
                 stallTimer = timers.after(left.compareTo(SOON) > 0 ? left : SOON, this::stalled);
             } else {
@@ -302,10 +349,21 @@
         }
 
         /** An answer whose words make no sense is spoilt, and costs its own trip alone: the frames are sound. */
-        private void head() {
+        private void head() throws MalformedException {
             List<String> words = reader.words();
             answeringId = words.get(0);
             answering = open.get(answeringId);
+            if (answering != null && beganIn <= answering.writtenIn) {
+                // It was read before this was written: the last leg's answer, a second time. Taken for this one's it
+                // would prove that nothing ran.
+                answering = null;
+            }
+            if (answering == null) {
+                unasked();
+                return;
+            }
+            unasked = 0;
+            unwantedSince = null;
             String word = words.size() > 1 ? words.get(1) : SPOILT;
             Fields fields = new Fields();
             try {
@@ -314,8 +372,29 @@
                 Log.line("cache-unreadable", name + ": " + e.getMessage());
                 word = SPOILT;
             }
-            if (answering != null) {
-                answering.asked.answered(word, fields, reader.bodyLength());
+            answering.asked.answered(word, fields, reader.bodyLength());
+        }
+
+        /** A late answer to what was given up, or a second one; a cache that has once told twice may again. */
+        private void unasked() throws MalformedException {
+            if (!quit.contains(answeringId)) {
+                doubted = DOUBTED;
+            }
+            if (++unasked > MOST_UNASKED) {
+                throw new MalformedException("nothing but answers that nobody asked for");
+            }
+        }
+
+        /** The next leg of a request takes another connection, where the answer to this one may come again. */
+        private void remember(String id) {
+            if (doubted == 0) {
+                answered.clear();
+                return;
+            }
+            doubted--;
+            answered.add(id);
+            if (answered.size() > MOST_ANSWERED) {
+                answered.remove(answered.iterator().next());
             }
         }
 
@@ -325,6 +404,7 @@
             usedAt = timers.now();
             if (request != null) {
                 open.remove(answeringId);
+                remember(answeringId);
                 request.asked.whole();
                 closeIfDone();
             }
@@ -345,7 +425,8 @@
             open.clear();
             answering = null;
             for (Request request : all) {
-                request.asked.ended(ending, connection.hasLeft(request.end));
+                boolean given = request.end != Long.MAX_VALUE;
+                request.asked.ended(ending, given && (ending.fromHere() || connection.hasLeft(request.end)));
             }
         }
     }
--- a/net/src/main/java/tamarindroute/net/Ending.java
+++ b/net/src/main/java/tamarindroute/net/Ending.java
@@ -36,6 +36,18 @@
 
     /** What became of a trip; one that was not written whole to the connection cannot have run. */
     public Result result(boolean written) {
-        return written || ifWritten.provesNotRun ? ifWritten : Result.UNREACHED;
+        if (written || ifWritten.provesNotRun) {
+            return ifWritten;
+        }
+        // Whoever let it go did so for reasons of their own, which say nothing against the cache.
+        return this == LET_GO ? Result.NOT_SENT : Result.UNREACHED;
+    }
+
+    /**
+     * Whether this gateway ended it. MINA's thread may be in the midst of writing what it was given by then, and tells
+     * of it only afterwards; an end from the other side is told after the last that left.
+     */
+    boolean fromHere() {
+        return this == STALLED || this == UNREADABLE || this == LET_GO;
     }
 }
--- a/net/src/main/java/tamarindroute/net/Sockets.java
+++ b/net/src/main/java/tamarindroute/net/Sockets.java
@@ -271,7 +271,8 @@
     @Override
     public void exceptionCaught(IoSession session, Throwable cause) {
         if (cause instanceof IOException) {
-            session.setAttributeIfAbsent(WHY, why(cause));
+            // Whatever its words: what was written to a connection that was up may have run.
+            session.setAttributeIfAbsent(WHY, Ending.RESET);
         } else {
             Log.line("net", cause);
         }
--- a/net/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/net/src/test/java/tamarindroute/net/ConnectTest.java
@@ -83,7 +83,7 @@
                     new CacheLine.Limits(4, 100, Duration.ofSeconds(2), Duration.ZERO));
             CompletableFuture<Boolean> written = new CompletableFuture<>();
             owner.thread.submit(() -> {
-                line.ask("1", "-", List.of(), 0, waiting(true, (ending, whole) -> written.complete(whole)));
+                line.ask("1", () -> "-", List.of(), 0, waiting(true, (ending, whole) -> written.complete(whole)));
                 line.letGo();
             }).get();
             assertThat(written.get(2, TimeUnit.SECONDS)).isFalse();
@@ -100,8 +100,8 @@
                     new CacheLine.Limits(1, 100, Duration.ofSeconds(2), Duration.ZERO));
             CompletableFuture<Ending> drained = new CompletableFuture<>();
             owner.thread.submit(() -> {
-                line.ask("1", "-", List.of(), 0, waiting(false, (ending, whole) -> drained.complete(ending)));
-                line.ask("2", "-", List.of(), 0, waiting(true, (ending, whole) -> { }));
+                line.ask("1", () -> "-", List.of(), 0, waiting(false, (ending, whole) -> drained.complete(ending)));
+                line.ask("2", () -> "-", List.of(), 0, waiting(true, (ending, whole) -> { }));
             }).get();
             assertThat(drained.get(2, TimeUnit.SECONDS)).isEqualTo(Ending.OVERTAKEN);
             try (Socket cache = server.accept()) {
--- a/policy/src/main/java/tamarindroute/policy/Brain.java
+++ b/policy/src/main/java/tamarindroute/policy/Brain.java
@@ -88,6 +88,11 @@
                 .orElse(Judging.NOT_YET);
     }
 
+    @Override
+    public boolean mayStillGo(View view, Trip trip, Duration now) {
+        return judging.rules().mayStillGo(view, trip, seconds(now));
+    }
+
     @Override
     public Duration patience(View view, Duration now) {
         return view.trips.stream().filter(t -> t.outcome == null && t.due != null && t.due.compareTo(now) > 0)
--- a/policy/src/main/java/tamarindroute/policy/Rules.java
+++ b/policy/src/main/java/tamarindroute/policy/Rules.java
@@ -45,21 +45,36 @@
         return tries == 0 || tries <= (overload ? 0 : 2);
     }
 
-    private static Trip firstThatMayHaveRun(View view) {
-        return view.trips.stream().filter(t -> t.outcome == null || !t.outcome.result().provesNotRun)
-                .findFirst().orElse(null);
+    private static Trip firstThatMayHaveRun(View view, Trip but) {
+        return view.trips.stream().filter(t -> t != but
+                && (t.outcome == null || !t.outcome.result().provesNotRun)).findFirst().orElse(null);
     }
 
     /** No effect twice: a numbered view goes out again only in the first half of its window. */
     static boolean mayRun(View view, double now) {
-        Trip ran = firstThatMayHaveRun(view);
+        return mayRun(view, null, now);
+    }
+
+    private static boolean mayRun(View view, Trip but, double now) {
+        Trip ran = firstThatMayHaveRun(view, but);
         return ran == null || view.profile.repeat() == Repeat.REISSUABLE
                 || view.profile.repeat() == Repeat.NUMBERED
                 && now - seconds(ran.sent) < 0.5 * seconds(view.profile.window());
     }
 
+    /** What was told, and the time that passed, since a trip was decided bind it like a new one: a drain, a
+     *  start anew, a purge that it does not allow for, the end of its window. It has not run itself. */
+    boolean mayStillGo(View view, Trip trip, double now) {
+        Duration oldest = view.profile.kept() ? oldest(view, now) : null;
+        return trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY
+                && Objects.equals(trip.cache.upSince, trip.cacheUpSince)
+                && Objects.equals(trip.source.upSince, trip.sourceUpSince)
+                && (oldest == null || trip.oldest != null && trip.oldest.compareTo(oldest) <= 0)
+                && seconds(view.cutOff) - now >= 0.002 && mayRun(view, trip, now);
+    }
+
     static boolean inGroup(View view, Node node) {
-        Trip ran = firstThatMayHaveRun(view);
+        Trip ran = firstThatMayHaveRun(view, null);
         return ran == null || view.profile.group() == Profile.Group.ALL
                 || (view.profile.group() == Profile.Group.ZONE ? node.cache.zone == ran.cache.zone
                 : node.cache.cell == ran.cache.cell);
@@ -67,7 +82,8 @@
 
     /** The final answer, at once; the advice is spread so that not all come back together. */
     Answer giveUp(View view) {
-        boolean harmless = view.profile.repeat() == Repeat.REISSUABLE || firstThatMayHaveRun(view) == null
+        boolean harmless = view.profile.repeat() == Repeat.REISSUABLE
+                || firstThatMayHaveRun(view, null) == null
                 || view.profile.repeat() == Repeat.NUMBERED && view.profile.group() == Profile.Group.ALL;
         Duration most = all.settings.longestComeBack();
         return !harmless ? new Answer.Termination() : new Answer.Dismissal(most == null ? null
--- a/policy/src/test/java/tamarindroute/policy/Scenario.java
+++ b/policy/src/test/java/tamarindroute/policy/Scenario.java
@@ -95,6 +95,11 @@
                 Duration patience = brain.patience(views.get(words[1]), now);
                 check(line, String.valueOf(patience == null ? null : patience.toMillis() > 0), words[2]);
             }
+            case "go" -> {
+                View view = views.get(words[1]);
+                check(line, brain.mayStillGo(view, view.trips.get((int) whole(facts, "trip", 0)), now) ? "yes" : "no",
+                        words[2]);
+            }
             case "sent" -> {
                 steps++;
                 int count = sent.getOrDefault(caches.get(words[1]), 0);
--- a/router/src/main/java/tamarindroute/gateway/Chain.java
+++ b/router/src/main/java/tamarindroute/gateway/Chain.java
@@ -30,7 +30,7 @@
         Book book = new Book(clock, decisions, route);
         admit = new Admit(settings, clock, route, book);
         book.chain(admit);
-        route.chain(new Send(clock, roster, book, relay), book);
+        route.chain(new Send(clock, decisions, roster, book, relay), book);
     }
 
     Roster roster() {
--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -2,11 +2,12 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import tamarindroute.decision.Cache;
+import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Outcome.Result;
 import tamarindroute.decision.Trip;
 import tamarindroute.host.Clock;
 import tamarindroute.host.Roster;
+import tamarindroute.log.Log;
 import tamarindroute.net.Asked;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Ending;
@@ -19,12 +20,14 @@
 final class Send {
 
     private final Clock clock;
+    private final Decisions decisions;
     private final Roster roster;
     private final Book book;
     private final Relay relay;
 
-    Send(Clock clock, Roster roster, Book book, Relay relay) {
+    Send(Clock clock, Decisions decisions, Roster roster, Book book, Relay relay) {
         this.clock = clock;
+        this.decisions = decisions;
         this.roster = roster;
         this.book = book;
         this.relay = relay;
@@ -55,10 +58,15 @@
             roster.out(trip, -1);
         }
 
-        /** A drain may have been told while the connection came up: of its cache, or of its source. */
+        /** Much may have been told while the connection came up; a defect in the module must cost this trip alone. */
         @Override
         public boolean stillWanted() {
-            return trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY;
+            try {
+                return !held.over && decisions.mayStillGo(held.view, trip, clock.now());
+            } catch (RuntimeException e) {
+                Log.defect(e);
+                return false;
+            }
         }
 
         @Override
@@ -92,8 +100,13 @@
         TripOut out = new TripOut(held, trip);
         held.out.add(out);
         roster.out(trip, 1);
-        Duration left = held.left(trip.sent);
-        Fields fields = new Fields()
+        out.quit = roster.line(trip.cache).ask(held.id, () -> fields(held, trip), held.body, held.bodyLength, out);
+    }
+
+    /** As of now, when they are written: the connection may have come up late. */
+    private String fields(Held held, Trip trip) {
+        Duration left = held.left(clock.now());
+        return new Fields()
                 .with("lane", held.profileName)
                 .with("name", held.object)
                 .with("piece", held.view.part)
@@ -103,8 +116,8 @@
                 .with("shelf", trip.rank == 0 ? null : trip.rank)
                 .with("accept", trip.oldest == null ? null : Math.max(1, trip.oldest.toMillis()))
                 .with("hints", hints(trip))
-                .with("got", held.copy);
-        out.quit = roster.line(trip.cache).ask(held.id, fields.write("-"), held.body, held.bodyLength, out);
+                .with("got", held.copy)
+                .write("-");
     }
 
     private static String hints(Trip trip) {
--- a/router/src/test/java/tamarindroute/host/RosterTest.java
+++ b/router/src/test/java/tamarindroute/host/RosterTest.java
@@ -50,6 +50,11 @@
             return null;
         }
 
+        @Override
+        public boolean mayStillGo(View view, Trip trip, Duration now) {
+            return true;
+        }
+
         @Override
         public Duration patience(View view, Duration now) {
             return null;
