No copy is called the client's unnamed, and none from before a purge is passed on

Cause: `names` took an answer without a digest as naming the client's copy ("named == null || ..."), so a NOMOD that names none called the client's copy current: lost, by the protocol. An ACK whose `dated` lies before the purge that the request allowed for was passed on as served. Change: a NOMOD has to name that very copy. Where a purge binds an attempt, an answer dated before what it allowed (less the protocol's 50 ms) is the cache's error, as is a date that can't be read; the view goes on. An answer without a date is taken as before.

--- a/router/src/main/java/tamarindroute/gateway/Book.java
+++ b/router/src/main/java/tamarindroute/gateway/Book.java
@@ -8,6 +8,7 @@
 import tamarindroute.decision.Outcome;
 import tamarindroute.decision.Outcome.Detail;
 import tamarindroute.decision.Outcome.Result;
+import tamarindroute.decision.Trip;
 import tamarindroute.host.Clock;
 import tamarindroute.host.Report;
 import tamarindroute.log.Log;
@@ -32,6 +33,10 @@
 
     /** What a cache tells of a wait in milliseconds is within this, or it is none. */
     private static final double LONGEST_TOLD = 1e6;
+    /** Unix milliseconds of the next millennia; what lies past them is no date. */
+    private static final double LATEST_DATE = 1e14;
+    /** The protocol's allowance on all limits of time, between the clocks and roundings of two machines. */
+    private static final Duration SLACK = Duration.ofMillis(50);
 
     private final Clock clock;
     private final Decisions decisions;
@@ -66,6 +71,10 @@
             Log.line("cache-unreadable", "an answer that the client's copy holds, which is not the client's");
             result = Result.ERRED;
         }
+        if (result == Result.HONOURED && tooOld(out.trip, fields)) {
+            Log.line("cache-unreadable", "a copy from before a purge that the cache was told of");
+            result = Result.ERRED;
+        }
         if (result == Result.HONOURED && !out.held.over) {
             out.passage.finish(fields, unchanged);
         } else {
@@ -77,7 +86,20 @@
     /** Whether a cache that says that the copy holds means the one that this client has. */
     private static boolean names(String copy, Fields fields) {
         String named = fields.text("digest");
-        return copy != null && (named == null || named.equals(copy));
+        return named != null && named.equals(copy);
+    }
+
+    /** Whether a copy is older than the trip allowed, which binds after a purge: its cache goes wrong, not its view. */
+    private boolean tooOld(Trip trip, Fields fields) {
+        if (trip.oldest == null || fields.text("dated") == null) {
+            return false;
+        }
+        try {
+            Duration made = clock.at((long) fields.number("dated", 0, LATEST_DATE));
+            return made.compareTo(trip.sent.minus(trip.oldest).minus(SLACK)) < 0;
+        } catch (MalformedException e) {
+            return true;
+        }
     }
 
     private void report(Send.TripOut out, Fields fields) throws MalformedException {
