An attempt recalled before it was written is told as not sent

Cause: `recall` told RECALLED of every attempt ("book.broken(out, Result.RECALLED)"), also of one that still waited for its connection: such a one may have run, as far as the module knew, and bound the view to its window and group. Change: the attempt notes when its fields are made, which is when it is written; before that it is NOT_SENT.

--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -40,6 +40,8 @@
         final Trip trip;
         final Relay.Passage passage;
         private Runnable quit = () -> { };
+        /** Whether it has been written, as far as a connection takes it. */
+        boolean begun;
         private String word;
         private Fields fields;
 
@@ -100,11 +102,14 @@
         TripOut out = new TripOut(held, trip);
         held.out.add(out);
         roster.out(trip, 1);
-        out.quit = roster.line(trip.cache).ask(held.id, () -> fields(held, trip), held.body, held.bodyLength, out);
+        out.quit = roster.line(trip.cache).ask(held.id, () -> fields(out), held.body, held.bodyLength, out);
     }
 
     /** As of now, when they are written: the connection may have come up late. */
-    private String fields(Held held, Trip trip) {
+    private String fields(TripOut out) {
+        out.begun = true;
+        Held held = out.held;
+        Trip trip = out.trip;
         Duration left = held.left(clock.now());
         return new Fields()
                 .with("lane", held.profileName)
@@ -125,12 +130,12 @@
         return words.isEmpty() ? null : words.substring(1);
     }
 
-    /** Stops waiting for a trip, where it is still out. */
+    /** Stops waiting for a trip, where it is still out; one that never got a connection cannot have run. */
     void recall(Held held, Trip trip) {
         for (TripOut out : held.out) {
             if (out.trip == trip) {
                 out.quit();
-                book.broken(out, Result.RECALLED);
+                book.broken(out, out.begun ? Result.RECALLED : Result.NOT_SENT);
                 return;
             }
         }
--- a/router/src/test/java/tamarindroute/gateway/SendTest.java
+++ b/router/src/test/java/tamarindroute/gateway/SendTest.java
@@ -148,6 +148,20 @@
         assertThat(out.stillWanted()).isFalse();
     }
 
+    /** A trip that is given up while it waits for its connection has not run, and may be made good elsewhere. */
+    @Test
+    void aTripRecalledBeforeItWasWrittenWasNotSent() {
+        Send.TripOut waiting = out(null, null);
+        Send.TripOut begun = out(null, null);
+        begun.begun = true;
+        for (Send.TripOut out : List.of(waiting, begun)) {
+            out.held.over = true;
+            send.recall(out.held, out.trip);
+        }
+        assertThat(waiting.trip.outcome.result()).isEqualTo(Result.NOT_SENT);
+        assertThat(begun.trip.outcome.result()).isEqualTo(Result.RECALLED);
+    }
+
     /** The client's copy holds only if the cache has named that very copy. */
     @Test
     void anAnswerThatTheCopyHoldsWithoutNamingItIsAnError() {
