--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -2,11 +2,12 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import tamarindroute.decision.Cache;
+import tamarindroute.decision.Decisions;
 import tamarindroute.decision.Outcome.Result;
 import tamarindroute.decision.Trip;
 import tamarindroute.host.Clock;
 import tamarindroute.host.Roster;
+import tamarindroute.log.Log;
 import tamarindroute.net.Asked;
 import tamarindroute.net.Connection;
 import tamarindroute.net.Ending;
@@ -19,12 +20,14 @@
 final class Send {
 
     private final Clock clock;
+    private final Decisions decisions;
     private final Roster roster;
     private final Book book;
     private final Relay relay;
 
-    Send(Clock clock, Roster roster, Book book, Relay relay) {
+    Send(Clock clock, Decisions decisions, Roster roster, Book book, Relay relay) {
         this.clock = clock;
+        this.decisions = decisions;
         this.roster = roster;
         this.book = book;
         this.relay = relay;
@@ -37,6 +40,8 @@
         final Trip trip;
         final Relay.Passage passage;
         private Runnable quit = () -> { };
+        /** Whether it has been written, as far as a connection takes it. */
+        boolean begun;
         private String word;
         private Fields fields;
 
@@ -55,10 +60,15 @@
             roster.out(trip, -1);
         }
 
-        /** A drain may have been told while the connection came up: of its cache, or of its source. */
+        /** Much may have been told while the connection came up; a defect in the module must cost this trip alone. */
         @Override
         public boolean stillWanted() {
-            return trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY;
+            try {
+                return !held.over && decisions.mayStillGo(held.view, trip, clock.now());
+            } catch (RuntimeException e) {
+                Log.defect(e);
+                return false;
+            }
         }
 
         @Override
@@ -92,8 +102,16 @@
         TripOut out = new TripOut(held, trip);
         held.out.add(out);
         roster.out(trip, 1);
-        Duration left = held.left(trip.sent);
-        Fields fields = new Fields()
+        out.quit = roster.line(trip.cache).ask(held.id, () -> fields(out), held.body, held.bodyLength, out);
+    }
+
+    /** As of now, when they are written: the connection may have come up late. */
+    private String fields(TripOut out) {
+        out.begun = true;
+        Held held = out.held;
+        Trip trip = out.trip;
+        Duration left = held.left(clock.now());
+        return new Fields()
                 .with("lane", held.profileName)
                 .with("name", held.object)
                 .with("piece", held.view.part)
@@ -103,8 +121,8 @@
                 .with("shelf", trip.rank == 0 ? null : trip.rank)
                 .with("accept", trip.oldest == null ? null : Math.max(1, trip.oldest.toMillis()))
                 .with("hints", hints(trip))
-                .with("got", held.copy);
-        out.quit = roster.line(trip.cache).ask(held.id, fields.write("-"), held.body, held.bodyLength, out);
+                .with("got", held.copy)
+                .write("-");
     }
 
     private static String hints(Trip trip) {
@@ -112,12 +130,12 @@
         return words.isEmpty() ? null : words.substring(1);
     }
 
-    /** Stops waiting for a trip, where it is still out. */
+    /** Stops waiting for a trip, where it is still out; one that never got a connection cannot have run. */
     void recall(Held held, Trip trip) {
         for (TripOut out : held.out) {
             if (out.trip == trip) {
                 out.quit();
-                book.broken(out, Result.RECALLED);
+                book.broken(out, out.begun ? Result.RECALLED : Result.NOT_SENT);
                 return;
             }
         }
