The owner's clock is monotonic: a system clock that is set moves no deadline

Clock.now() was Duration.between(start, Instant.now()) while timers ran by System.nanoTime(): a system clock set back or forward moved deadlines, windows and drains' ends. Now now() is nanoTime, and at(unixMillis) converts by the system's clock as it is at that moment. ClockTest.aSystemClockThatIsSetMovesNoTime fails with the old now(). The other test guards at(), which was right by the old now().

--- a/router/src/main/java/tamarindroute/host/Clock.java
+++ b/router/src/main/java/tamarindroute/host/Clock.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.PriorityQueue;
+import java.util.function.Supplier;
 import tamarindroute.log.Log;
 import tamarindroute.net.Timers;
 
 /**
  * Owns the one thread that the module, the views and the timers belong to, and the time since the start by the
- * system's Unix clock. Timers that are due go before what was handed over, so that a backlog delays no final
+ * monotonic clock: a system's clock that is set moves no deadline. Only what others tell in Unix time is converted,
+ * by the system's clock as it is then. Timers that are due go before what was handed over, so that a backlog delays no final
  * answer. A failure in a task is logged and must never end the thread; nothing here takes a lock.
  */
 public final class Clock implements Timers {
@@ -31,24 +33,35 @@
     /** So few timers that were called off are not worth looking for. */
     private static final int FEW = 1000;
 
-    private final Instant start = Instant.now();
+    private final long start = System.nanoTime();
+    private final Supplier<Instant> wall;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Thread owner = new Thread(this::run, "owner");
     private final HandOver handed = new HandOver(owner);
     private int calledOff;
 
     public Clock() {
+        this(Instant::now);
+    }
+
+    /** With another clock for Unix time; a test sets it back and forward. */
+    Clock(Supplier<Instant> wall) {
+        this.wall = wall;
         owner.start();
     }
 
     @Override
     public Duration now() {
-        return Duration.between(start, Instant.now());
+        return Duration.ofNanos(System.nanoTime() - start);
     }
 
-    /** A Unix time in milliseconds as a time since the start; it may lie before it. */
+    /**
+     * A Unix time in milliseconds as a time since the start; it may lie before it. The system's clock is read first:
+     * a pause between the two makes a purge or a start look later, which is the careful side.
+     */
     public Duration at(long unixMillis) {
-        return Duration.between(start, Instant.ofEpochMilli(unixMillis));
+        Duration ago = Duration.between(Instant.ofEpochMilli(unixMillis), wall.get());
+        return now().minus(ago);
     }
 
     @Override
