A gap in the feed's numbers that stays is passed at the third asking, whatever comes anew

checkGap counted 'gaps' and set it to 0 at each number that followed the last: asked from the first, a feed that still has what lies before the gap answered events in order, the count began again, and everything behind the gap (a drain) was asked for and refused for good. The count is now the gap's own. RosterTest.aGapThatStaysHidesNoDrainThoughAllBeforeItComesAnew fails without it (Malformed at the third asking).

--- a/router/src/main/java/tamarindroute/host/Roster.java
+++ b/router/src/main/java/tamarindroute/host/Roster.java
@@ -53,7 +53,9 @@
     private Duration toldAt;
     private Consumer<String> whenRead = text -> { };
     private boolean listed;
+    /** How often events were missed before the one of this number. */
     private int gaps;
+    private long gapBefore;
     private Runnable whenListed = () -> { };
     private Runnable whenChanged = () -> { };
     private List<Cache> caches = List.of();
@@ -226,12 +228,16 @@
 
     /**
      * Events that are missing may hold a drain: they are asked for again, then all from the first, and only if
-     * they are missing still is what there is taken.
+     * they are missing still is what there is taken. The count is the gap's own: events before it that come anew
+     * with it must not start it again, or all behind the gap would be asked for, and never taken, for good.
      */
     private void checkGap(long number) throws MalformedException {
         if (number == last + 1) {
-            gaps = 0;
-        } else if (++gaps <= 2) {
+            return;
+        }
+        gaps = number == gapBefore ? gaps + 1 : 1;
+        gapBefore = number;
+        if (gaps <= 2) {
             long after = last;
             last = gaps == 2 ? 0 : last;
             throw new MalformedException("events are missing between " + after + " and " + number);
--- a/router/src/test/java/tamarindroute/host/RosterTest.java
+++ b/router/src/test/java/tamarindroute/host/RosterTest.java
@@ -183,6 +183,25 @@
         assertThat(roster.caches()).hasSize(4096);
     }
 
+    /** A gap that stays, in a feed that still has all before it: the drain behind it holds at the third asking. */
+    @Test
+    void aGapThatStaysHidesNoDrainThoughAllBeforeItComesAnew() throws Exception {
+        Config config = Config.read(Path.of("example/config.json").toString());
+        Listening listening = new Listening(new Brain(config.settings().settings(1)));
+        Roster roster = roster(listening, config);
+        String first = EVENT.formatted(1, true, 0, "ready");
+        String later = "{\"n\":4,\"members\":{\"full\":false,\"servers\":[{\"id\":\"s-0\",\"state\":\"draining\"}]}}";
+        roster.read(first);
+        for (int i = 0; i < 2; i++) {
+            assertThat(roster.last()).isEqualTo(1);
+            assertThatThrownBy(() -> roster.read("{\"n\":4,\"events\":[" + later + "]}")).hasMessageContaining("missing");
+        }
+        assertThat(roster.last()).as("all is asked for").isZero();
+        roster.read(first.replace("{\"n\":1,\"events\"", "{\"n\":4,\"events\"").replace("}]}}]}", "}]}}," + later + "]}"));
+        assertThat(roster.last()).isEqualTo(4);
+        assertThat(listening.last.get(0).standing).isEqualTo(Cache.Standing.DRAINING);
+    }
+
     /** What another told counts once, in order; a feed of one's own that is late by it does not count anew. */
     @Test
     void anEventThatAnotherToldIsKeptThoughTheOwnFeedIsBehind() throws Exception {
