Dials that were given up count until their sockets are closed; the feed has its own

Connection.close left 'connected' at once while MINA keeps the socket of a dial that hangs for 3 to 4 s more (its cancel must not be used), so caches that hang could take any number of descriptors past the share, up to EMFILE for clients and the feed. They now count until MINA's future is done, and are bounded by the caches' share with the rest. ConnectTest.dialsThatHangAndWereGivenUpCountUntilTheirSocketsAreClosed: 500 dials instead of 8 without it.

--- a/net/src/main/java/tamarindroute/net/Sockets.java
+++ b/net/src/main/java/tamarindroute/net/Sockets.java
@@ -62,6 +62,9 @@
     private final AtomicInteger accepted = new AtomicInteger();
     private final Set<Connection> clients = new LinkedHashSet<>();
     private final Set<Connection> connected = new HashSet<>();
+    /** Those that MINA still brings up, and of them those given up here: a socket each until MINA is done with it. */
+    private final Set<Connection> comingUp = new HashSet<>();
+    private final Set<Connection> givenUp = new HashSet<>();
     private Function<Connection, Peer> door;
 
     /** Clients are told to hold a third of the descriptors at most; half of what is left over goes to each side. */
@@ -107,9 +110,8 @@
 
     /** A connection that is to come up; the peer hears of it, or of its end, later. */
     public Connection connect(InetSocketAddress address, Peer peer) {
-        Connection connection = new Connection(this);
-        connection.peer = peer;
-        if (connected.size() >= mostConnected) {
+        Connection connection = connection(peer);
+        if (descriptorsOut() >= mostConnected) {
             Connection out = idlest(connected);
             if (out == null) {
                 timers.handOver(() -> connection.close(Ending.NO_DESCRIPTOR, false));
@@ -118,20 +120,50 @@
             out.close(Ending.LET_GO, true);
         }
         connected.add(connection);
+        comingUp.add(connection);
+        dial(address, connection);
+        return connection;
+    }
+
+    /**
+     * The same for the feed, out of the program's own descriptors: caches that use up their share must not make it
+     * deaf, for it tells of the drains that would free them; nor is it ever let go of for a cache.
+     */
+    Connection connectReserved(InetSocketAddress address, Peer peer) {
+        Connection connection = connection(peer);
+        dial(address, connection);
+        return connection;
+    }
+
+    private Connection connection(Peer peer) {
+        Connection connection = new Connection(this);
+        connection.peer = peer;
+        return connection;
+    }
+
+    private void dial(InetSocketAddress address, Connection connection) {
         ConnectFuture future = connector.connect(address,
                 (session, made) -> session.setAttribute(CONNECTION, connection));
         future.addListener((IoFutureListener<ConnectFuture>) done -> {
             Throwable failure = done.getException();
-            if (failure != null) {
-                timers.handOver(() -> connection.lost(why(failure)));
-            }
+            timers.handOver(() -> {
+                comingUp.remove(connection);
+                givenUp.remove(connection);
+                if (failure != null) {
+                    connection.lost(why(failure));
+                }
+            });
         });
-        return connection;
     }
 
     /** Whether there is a descriptor for one more, or one can be had from a connection that is of no use just now. */
     public boolean mayConnect() {
-        return connected.size() < mostConnected || idlest(connected) != null;
+        return descriptorsOut() < mostConnected || idlest(connected) != null;
+    }
+
+    /** One given up while it was coming up holds its descriptor on; dials that hang must not pass the share so. */
+    private int descriptorsOut() {
+        return connected.size() + givenUp.size();
     }
 
     /** The connection that has been of no use for longest; null where all are of use. */
@@ -142,6 +174,9 @@
 
     void ended(Connection connection) {
         connected.remove(connection);
+        if (comingUp.contains(connection)) {
+            givenUp.add(connection);
+        }
         clients.remove(connection);
     }
 
--- a/net/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/net/src/test/java/tamarindroute/net/ConnectTest.java
@@ -1,6 +1,7 @@
 package tamarindroute.net;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -251,4 +253,42 @@
             }
         }
     }
+
+    /** A dial that hangs keeps its socket after whoever wanted it has given it up; counted, it passes no share. */
+    @Test
+    void dialsThatHangAndWereGivenUpCountUntilTheirSocketsAreClosed() throws Exception {
+        Sockets few = new Sockets(owner, pool, 80);
+        List<Socket> filling = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1); ServerSocket there = new ServerSocket(0, 200)) {
+            InetSocketAddress hangs = new InetSocketAddress("127.0.0.1", full.getLocalPort());
+            assertThatThrownBy(() -> {
+                while (true) {
+                    Socket one = new Socket();
+                    filling.add(one);
+                    one.connect(hangs, 200);
+                }
+            }).isInstanceOf(SocketTimeoutException.class);
+            int given = owner.thread.submit(() -> {
+                int dials = 0;
+                for (; few.mayConnect() && dials < 500; dials++) {
+                    few.connect(hangs, new Counting(new CountDownLatch(1))).close(Ending.NOT_UP_IN_TIME, false);
+                }
+                return dials;
+            }).get();
+            assertThat(given).as("what the limit leaves to each side").isEqualTo(8);
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", there.getLocalPort());
+            CountDownLatch up = new CountDownLatch(1);
+            // MINA gives them up after 3 s and looks each second.
+            for (int i = 0; i < 700 && !owner.thread.submit(few::mayConnect).get(); i++) {
+                Thread.sleep(10);
+            }
+            owner.thread.submit(() -> few.connect(address, new Counting(up))).get();
+            assertThat(up.await(2, TimeUnit.SECONDS)).isTrue();
+        } finally {
+            for (Socket one : filling) {
+                one.close();
+            }
+            few.shutDown();
+        }
+    }
 }
