--- a/router/src/main/java/tamarindroute/host/Instance.java
+++ b/router/src/main/java/tamarindroute/host/Instance.java
@@ -42,7 +42,8 @@
         sockets = new Sockets(clock, pool, config.descriptors());
         limits = new CacheLine.Limits(FEW, settings.mostOnConnection(), settings.connectWithin(), settings.keepIdle());
         roster = new Roster(settings, modules, clock, this::line);
-        feed = new Feed(sockets, clock, config.feed(), roster);
+        // No two of a fleet draw the same pauses, also where one seed was given to all.
+        feed = new Feed(sockets, clock, config.feed(), roster, config.seed() ^ config.listen().hashCode());
     }
 
     /** The connections to a cache. */
