--- a/net/src/test/java/tamarindroute/net/FeedTest.java
+++ b/net/src/test/java/tamarindroute/net/FeedTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import tamarindroute.protocol.MalformedException;
 
 /** The feed's connection against a scripted feed on real sockets, with the time in the test's hand. */
@@ -381,6 +383,49 @@
         come.isClosed();
     }
 
+    /** Whatever comes in place of an answer, or of its end, is asked for again with the same number, and soon. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\n{}", "nonsense\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n{", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}x\r\n"})
+    void whatIsNoAnswerIsAskedForAgain(String bad) throws Exception {
+        ServerSocket server = server();
+        started(server);
+        Come come = new Come(server);
+        come.asked();
+        come.sends(bad);
+        waits(() -> ended == 1);
+        goesOn(server);
+    }
+
+    /** Broken off in the middle of an event, in order or by a reset, as late as the owner is at it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatIsBrokenOffIsAskedForAgain(boolean reset) throws Exception {
+        ServerSocket server = server();
+        started(server);
+        Come come = new Come(server);
+        come.asked();
+        come.sends("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"n\":");
+        if (reset) {
+            come.socket.setSoLinger(true, 0);
+        }
+        come.close();
+        waits(() -> ended == 1);
+        goesOn(server);
+    }
+
+    private void goesOn(ServerSocket server) throws Exception {
+        assertThat(read).isEmpty();
+        assertThat(until(2)).isLessThanOrEqualTo(Duration.ofMillis(300));
+        Come come = new Come(server);
+        assertThat(come.asked()).startsWith("GET /v1/events?SUB=0&");
+        come.sends("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+        assertThat(come.asked()).startsWith("GET /v1/events?SUB=1&");
+        assertThat(ended).isEqualTo(1);
+    }
+
     /** Caches that use every descriptor of their share do not make the gateway deaf to its feed. */
     @Test
     void theFeedHasADescriptorWhenTheCachesHaveNone() throws Exception {
