A client's connection is closed after its last bytes, and lingers for the client's end

Cause: Connection.close ended a client's session by `session.closeOnFlush()` or `session.closeNow()`. Once closed here, nothing resumed its reads (`!over && ... session.isReadSuspended()`), so bytes lay unread at the close, the machine reset the connection, and answers on their way went with it. Also, MINA's `acceptor.unbind()` closes all accepted sessions by default, so the door could not be shut by itself.

Change: one lingering close for all clients' connections that the gateway closes with a flush: what was written leaves (3 s at most), then the output is shut on MINA's own thread, what comes is thrown away there (2 MB at most), until the client's end or 200 ms. At most 8 linger at once, out of the clients' share of descriptors. A new client that finds the door full goes the same way. The sockets can shut the door alone and tell when the last client is wholly gone.

--- a/net/src/main/java/tamarindroute/net/Connection.java
+++ b/net/src/main/java/tamarindroute/net/Connection.java
@@ -19,6 +19,15 @@
     /** Reads handed over and not used up, past which no more are made: four buffers keep a stream flowing. */
     private static final int MOST_READS = 4;
 
+    /** What was written to a client leaves within the longest time that one waits for an answer, or never. */
+    private static final Duration LEAVES_WITHIN = Duration.ofSeconds(3);
+    /** Requests that cross a close come within 50 ms, by the protocol; this allows for a busy machine. */
+    private static final Duration LINGERS = Duration.ofMillis(200);
+    /** More than a client can have on its way: 32 requests of 48,000 bytes. Past it, it floods and does not listen. */
+    private static final int MOST_THROWN = 2 * 1024 * 1024;
+    /** A client may shut its side and wait; one that is gone must have begun no attempt after 0.1 s. This is half. */
+    private static final long LEFT_AFTER_NANOS = 50_000_000;
+
     /** Behind a connection that is not let in: what it sends goes nowhere. */
     private static final Peer NOBODY = new Peer() {
         @Override
@@ -31,6 +40,7 @@
     };
 
     private final Sockets sockets;
+    private final boolean fromClient;
     Peer peer = NOBODY;
     private volatile IoSession session;
     private final AtomicInteger reads = new AtomicInteger();
@@ -42,11 +52,27 @@
     private Ending ending;
     private volatile long written;
     private volatile long left;
+    /** What comes is of no use to anyone; MINA's thread throws it away. */
+    private volatile boolean discarding;
+    /** This side has ended it, and waits for the other side's end. */
+    private volatile boolean lingering;
+    /** Since when the other side is known to send no more, and whether all is over; set on MINA's thread. */
+    private volatile long inputOverAt;
+    private volatile boolean inputOver;
+    private volatile boolean gone;
+    private boolean outputShut;
+    private long thrown;
+    private Runnable lingerTimer = () -> { };
 
     private record Read(IoBuffer bytes, Duration at) { }
 
-    Connection(Sockets sockets) {
+    Connection(Sockets sockets, boolean fromClient) {
         this.sockets = sockets;
+        this.fromClient = fromClient;
+    }
+
+    IoSession session() {
+        return session;
     }
 
     /** Writes bytes of the caller's own. */
@@ -121,7 +147,10 @@
         }
     }
 
-    /** Closes it; what was written still leaves where flush is set. The peer is told of the end at once. */
+    /**
+     * Closes it; what was written still leaves where flush is set. The peer is told of the end at once. A client's
+     * connection lingers then: a close over unread bytes would reset it, and answers on their way go with that.
+     */
     public void close(Ending why, boolean flush) {
         if (over) {
             return;
@@ -129,7 +158,9 @@
         // One that is still coming up is closed when it is up. MINA's cancel must not be used: where it meets a
         // connect that MINA has not yet registered, MINA's count of connects goes wrong for good, its thread
         // ends too early, and later connects come up at the other side but never here.
-        if (session != null && flush) {
+        if (session != null && flush && fromClient) {
+            linger();
+        } else if (session != null && flush) {
             session.closeOnFlush();
         } else if (session != null) {
             session.closeNow();
@@ -137,6 +168,75 @@
         end(why);
     }
 
+    /** What comes from now on is thrown away, at no cost to the owner; its end is told as ever. */
+    public void discard() {
+        discarding = true;
+    }
+
+    /** Whether nobody is there to be served: all is over, or the other side's end came a while ago. */
+    public boolean isLeft() {
+        return gone || inputOver && System.nanoTime() - inputOverAt > LEFT_AFTER_NANOS;
+    }
+
+    /** Each side tells the other by a flag and then looks at the other's, so that one of both sees. */
+    private void linger() {
+        discarding = true;
+        lingering = true;
+        sockets.lingers(this);
+        lingerTimer = sockets.after(LEAVES_WITHIN, this::cut);
+        if (inputOver) {
+            session.closeOnFlush();
+        } else {
+            session.resumeRead();
+        }
+    }
+
+    /** Ends a lingering at once. */
+    void cut() {
+        session.closeNow();
+    }
+
+    /** On MINA's thread: whether this side's end is due, once: all that was written has left. */
+    boolean shutsOutput() {
+        if (!lingering || inputOver || outputShut || left < written) {
+            return false;
+        }
+        outputShut = true;
+        sockets.handOver(() -> {
+            lingerTimer.run();
+            if (!gone) {
+                lingerTimer = sockets.after(LINGERS, this::cut);
+            }
+        });
+        return true;
+    }
+
+    /** On MINA's thread: the other side sends no more; true where this side waited for just that. */
+    boolean inputIsOver() {
+        inputOverAt = System.nanoTime();
+        inputOver = true;
+        return lingering;
+    }
+
+    /** On MINA's thread: the session is no more. */
+    void isGone() {
+        gone = true;
+    }
+
+    /** On MINA's thread: whether these bytes go nowhere. */
+    boolean throwsAway(int bytes) {
+        if (!discarding) {
+            return false;
+        }
+        if (lingering) {
+            thrown += bytes;
+            if (thrown > MOST_THROWN && left >= written) {
+                cut();
+            }
+        }
+        return true;
+    }
+
     /** On the owner's thread: the connection is up, unless it was given up meanwhile. */
     void up(IoSession opened) {
         if (over) {
@@ -154,7 +254,7 @@
     void reading(IoSession from) {
         if (reads.incrementAndGet() >= mostReads()) {
             from.suspendRead();
-            if (reads.get() < mostReads() && !paused) {
+            if (reads.get() < mostReads() && !paused || lingering) {
                 from.resumeRead();
             }
         }
@@ -164,9 +264,10 @@
         return sockets.pool().hasRoom() ? MOST_READS : 1;
     }
 
-    /** On MINA's thread: so many bytes have left. */
-    void leaving(int bytes) {
+    /** On MINA's thread: so many bytes have left; true where these were the last and this side's end is due. */
+    boolean leaving(int bytes) {
         left += bytes;
+        return lingering && left >= written;
     }
 
     void received(IoBuffer buffer, Duration at) {
@@ -211,6 +312,7 @@
 
     /** The other side is gone; what it sent before is used first. */
     void lost(Ending why) {
+        lingerTimer.run();
         if (ending == null) {
             ending = why;
             use();
--- a/net/src/main/java/tamarindroute/net/Peer.java
+++ b/net/src/main/java/tamarindroute/net/Peer.java
@@ -22,9 +22,12 @@
         return null;
     }
 
-    /** The other side sends no more, but may still read. */
+    /** The other side sends no more; it may still read, or be gone. */
     default void inputClosed() { }
 
+    /** Nobody comes any more: it goes as soon as nothing is owed on it. */
+    default void doorShut() { }
+
     /** The connection is over, once and finally. */
     void ended(Ending ending);
 }
--- a/net/src/main/java/tamarindroute/net/Sockets.java
+++ b/net/src/main/java/tamarindroute/net/Sockets.java
@@ -4,6 +4,8 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -44,6 +46,12 @@
     /** Of those, for clients that are let in faster than others that have to go for them are closed. */
     private static final int CROWD = OWN_DESCRIPTORS / 2;
 
+    /**
+     * Closed connections that wait for their clients' end; past this the first of them is cut. They are of the clients'
+     * share, which keeps more than the third that clients are told to hold from 256 descriptors up.
+     */
+    private static final int MOST_LINGERING = 8;
+
     /** Clients close after 4 s; what is silent for so much longer has vanished without a word. */
     private static final int CLIENT_IDLE_SECONDS = 30;
 
@@ -62,6 +70,9 @@
     private final AtomicInteger accepted = new AtomicInteger();
     private final Set<Connection> clients = new LinkedHashSet<>();
     private final Set<Connection> connected = new HashSet<>();
+    private final Set<Connection> lingering = new LinkedHashSet<>();
+    private boolean doorShut;
+    private Runnable whenNoClients = () -> { };
     private Function<Connection, Peer> door;
 
     /** Clients are told to hold a third of the descriptors at most; half of what is left over goes to each side. */
@@ -77,6 +88,8 @@
         acceptor.getSessionConfig().setReaderIdleTime(CLIENT_IDLE_SECONDS);
         acceptor.setHandler(this);
         acceptor.setReuseAddress(true);
+        // A door that is shut must not shut out those who are in.
+        acceptor.setCloseOnDeactivation(false);
         // What the operators' machines queue for a process that is slow to accept.
         acceptor.setBacklog(1024);
         connector.setConnectTimeoutMillis(CONNECT_MILLIS);
@@ -105,9 +118,48 @@
         acceptor.bind(address);
     }
 
+    /** Listens no more; blocks for a moment, and so is not for the owner's thread. */
+    public void shutDoor() {
+        acceptor.unbind();
+    }
+
+    /** The door is shut, which all who are in are told; the task is run once, when the last client's connection is wholly closed. */
+    public void whenNoClients(Runnable task) {
+        doorShut = true;
+        whenNoClients = task;
+        Set.copyOf(clients).forEach(client -> client.peer.doorShut());
+        noClients();
+    }
+
+    private void noClients() {
+        if (doorShut && accepted.get() == 0) {
+            Runnable task = whenNoClients;
+            whenNoClients = () -> { };
+            task.run();
+        }
+    }
+
+    /** Descriptors are scarce: few connections linger at once, but at the end, when no others come. */
+    void lingers(Connection connection) {
+        lingering.add(connection);
+        if (lingering.size() > MOST_LINGERING && !doorShut) {
+            Connection oldest = lingering.iterator().next();
+            lingering.remove(oldest);
+            oldest.cut();
+        }
+    }
+
+    Runnable after(Duration span, Runnable task) {
+        return timers.after(span, task);
+    }
+
+    void handOver(Runnable task) {
+        timers.handOver(task);
+    }
+
     /** A connection that is to come up; the peer hears of it, or of its end, later. */
     public Connection connect(InetSocketAddress address, Peer peer) {
-        Connection connection = new Connection(this);
+        Connection connection = new Connection(this, false);
         connection.peer = peer;
         if (connected.size() >= mostConnected) {
             Connection out = idlest(connected);
@@ -153,12 +205,13 @@
         if (!session.isConnected()) {
             return;
         }
-        if (clients.size() >= mostAccepted) {
+        if (clients.size() >= Math.min(mostAccepted, Math.max(LEAST_SIDE, mostByDescriptors - MOST_LINGERING))) {
             Connection out = idlest(clients);
             Log.line("door-full", clients.size() + " client connections, "
                     + (out == null ? "all in use: a new one closed" : "an idle one let go"));
             if (out == null) {
-                session.closeNow();
+                connection.up(session);
+                connection.close(Ending.LET_GO, true);
                 return;
             }
             out.close(Ending.LET_GO, true);
@@ -166,6 +219,9 @@
         clients.add(connection);
         connection.peer = door.apply(connection);
         connection.up(session);
+        if (doorShut) {
+            connection.peer.doorShut();
+        }
     }
 
     private static Ending why(Throwable failure) {
@@ -217,9 +273,26 @@
             int selected = super.select(timeout);
             for (NioSession next = changed.poll(); next != null; next = changed.poll()) {
                 super.updateTrafficControl(next);
+                if (of(next).shutsOutput()) {
+                    shutOutput(next);
+                }
             }
             return selected;
         }
+
+        /** MINA knows no end of one side alone; the channel is known to the selector. */
+        private void shutOutput(NioSession session) {
+            for (SelectionKey key : selector.keys()) {
+                if (key.attachment() == session) {
+                    try {
+                        ((SocketChannel) key.channel()).shutdownOutput();
+                    } catch (IOException e) {
+                        // The other side is gone, which MINA finds out by itself.
+                    }
+                    return;
+                }
+            }
+        }
     }
 
     private static Connection of(IoSession session) {
@@ -229,7 +302,7 @@
     @Override
     public void sessionCreated(IoSession session) {
         if (session.getService() == acceptor) {
-            session.setAttribute(CONNECTION, new Connection(this));
+            session.setAttribute(CONNECTION, new Connection(this, true));
             accepted.incrementAndGet();
         }
     }
@@ -252,6 +325,10 @@
     public void messageReceived(IoSession session, Object message) {
         Connection connection = of(session);
         IoBuffer bytes = (IoBuffer) message;
+        if (connection.throwsAway(bytes.remaining())) {
+            bytes.free();
+            return;
+        }
         Duration at = timers.now();
         connection.reading(session);
         timers.handOver(() -> connection.received(bytes, at));
@@ -259,7 +336,10 @@
 
     @Override
     public void messageSent(IoSession session, Object message) {
-        of(session).leaving(((IoBuffer) message).limit());
+        if (of(session).leaving(((IoBuffer) message).limit())) {
+            // Looked at once more where the channel is known.
+            ((NioSession) session).getProcessor().updateTrafficControl((NioSession) session);
+        }
     }
 
     @Override
@@ -287,17 +367,26 @@
         }
         // A client may shut its side and wait for the answers; one that is gone for good resets what is written.
         session.suspendRead();
+        if (connection.inputIsOver()) {
+            session.closeOnFlush();
+            return;
+        }
         timers.handOver(() -> connection.peer.inputClosed());
     }
 
     @Override
     public void sessionClosed(IoSession session) {
         Connection connection = of(session);
+        connection.isGone();
         if (session.getService() == acceptor) {
             accepted.decrementAndGet();
         }
         Ending ending = (Ending) session.getAttribute(WHY, Ending.CLOSED);
-        timers.handOver(() -> connection.lost(ending));
+        timers.handOver(() -> {
+            lingering.remove(connection);
+            connection.lost(ending);
+            noClients();
+        });
     }
 
     /** Closes all and ends MINA's threads. */
