A request that is being ended begins no further attempt

Cause: Book.cutOff ended each attempt by `end(out, Result.TIMED_OUT, ...)`, upon which the module may name another: at the gateway's last moment (endAll), or where the clocks differ at the deadline, that one was sent (`send.go`), and the request then failed by "no final answer at the cut-off", with the new attempt left out.

Change: such a request is marked; an attempt named for it is told to the module as not sent until the module gives the request up in its own words, so that only the module says whether a refusal is harmless. Send: one that waits for its connection and is unwanted by then does not go out.

With today's module and 3 s as the longest deadline the end of the gateway does not show it, since the module gives up by itself when the agreed time is over.

--- a/router/src/main/java/tamarindroute/gateway/Book.java
+++ b/router/src/main/java/tamarindroute/gateway/Book.java
@@ -111,6 +111,8 @@
 
     /** The client's time is over: what is out is too late, and the final answer is due. */
     void cutOff(Held held) {
+        // Told of the first trip's end the module may name another, which nobody would wait for.
+        held.noMore = true;
         for (Send.TripOut out : List.copyOf(held.out)) {
             out.quit();
             out.passage.drop();
--- a/router/src/main/java/tamarindroute/gateway/Held.java
+++ b/router/src/main/java/tamarindroute/gateway/Held.java
@@ -27,6 +27,12 @@
     Runnable patience = () -> { };
     Runnable cutOff = () -> { };
     boolean over;
+    /** No further attempt is begun: its time is over, or its client has gone, or the gateway ends. */
+    boolean noMore;
+    /** Nor does one go out that waits for its connection. */
+    boolean unwanted;
+    /** Attempts that the module named and that were not begun for that. */
+    int unsent;
 
     Held(TakeIn client, TakeIn.Call call, View view, String id, String object, String key, String copy) {
         this.client = client;
--- a/router/src/main/java/tamarindroute/gateway/Route.java
+++ b/router/src/main/java/tamarindroute/gateway/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import tamarindroute.decision.Answer;
 import tamarindroute.decision.Decisions;
+import tamarindroute.decision.Outcome;
 import tamarindroute.decision.Trip;
 import tamarindroute.host.Clock;
 import tamarindroute.log.Log;
@@ -13,6 +14,9 @@
  */
 final class Route {
 
+    /** More attempts than settings allow one request; past it the module is taken to name them without end. */
+    private static final int MOST_UNSENT = 16;
+
     private final Decisions decisions;
     private final Clock clock;
     private Send send;
@@ -37,6 +41,22 @@
         follow(held, () -> decisions.after(held.view, trip, clock.now()));
     }
 
+    /**
+     * An attempt that must not begin: the module has counted it, and is told that it was not sent, until it gives
+     * the view up in its own words; whether that is harmless is the module's to say.
+     */
+    private void unsent(Held held, Trip trip) {
+        held.noMore = true;
+        trip.sent = clock.now();
+        held.view.trips.add(trip);
+        trip.outcome = new Outcome(Outcome.Result.NOT_SENT, Outcome.Detail.UNTOLD, Duration.ZERO, null, false);
+        if (++held.unsent > MOST_UNSENT) {
+            book.terminate(held);
+        } else {
+            after(held, trip);
+        }
+    }
+
     private interface Question {
         Answer ask();
     }
@@ -55,6 +75,8 @@
             send.recall(held, recall.trip());
         } else if (held.over) {
             return;
+        } else if (answer instanceof Trip trip && (held.noMore || held.client.outlet.connection.isLeft())) {
+            unsent(held, trip);
         } else if (answer instanceof Trip trip) {
             trip.sent = clock.now();
             held.view.trips.add(trip);
--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -58,7 +58,7 @@
         /** A drain may have been told while the connection came up: of its cache, or of its source. */
         @Override
         public boolean stillWanted() {
-            return trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY;
+            return !held.unwanted && trip.cache.standing == Cache.Standing.READY && trip.source.standing == Cache.Standing.READY;
         }
 
         @Override
