Orderly ends at the client's side, and an orderly way out on SIGTERM

Cause: (1) Gateway.stop slept and polled, then `chain::endAll`, `Thread.sleep(50)` and `sockets().shutDown()`, which closed every session at once: last answers could be cut, resting clients were, and what was read in the last moments was sent on. (2) TakeIn took a malformed frame for `close(UNREADABLE, false)`: the other requests open there lost their answers. (3) A client's close comes as `inputClosed`, which only stopped the reading: further attempts were begun for a client that had gone.

Change: (1) the owner's timers drive the end; after 0.75 s the door is shut, what comes then is refused and not sent on, each connection goes in order when nothing is open on it, the rest is answered half a second past the longest deadline, and the process ends when the last client is wholly gone, 0.1 s later at most. (2) No more is read, what is open is answered, then the connection lingers. (3) No further attempt is begun; 50 ms later none goes out that waits for its connection; a request that is taken in when its client is known to be gone is not sent on.

--- a/router/src/main/java/tamarindroute/gateway/Admit.java
+++ b/router/src/main/java/tamarindroute/gateway/Admit.java
@@ -41,6 +41,7 @@
     private final Map<String, Held> open = new HashMap<>();
     private volatile int inHand;
     private boolean ready;
+    private boolean leaving;
 
     Admit(SettingsReader settings, Clock clock, Route route, Book book) throws MalformedSettingsException {
         this.clock = clock;
@@ -61,6 +62,16 @@
         ready = now;
     }
 
+    /** Whether the gateway is past taking in. */
+    boolean leaving() {
+        return leaving;
+    }
+
+    /** From now on all is turned away, and a client's connection goes when the last that is open on it ends. */
+    void leave() {
+        leaving = true;
+    }
+
     int inHand() {
         return inHand;
     }
@@ -68,6 +79,12 @@
     /** Takes a call, or turns it away; false where its fields could not be used. */
     boolean call(TakeIn client, TakeIn.Call call, boolean expected) {
         Held held = null;
+        if (leaving || client.outlet.connection.isLeft()) {
+            // Sent on, it would be out when this gateway ends, or for a client that is not there.
+            call.body().forEach(IoBuffer::free);
+            client.outlet.word(call.tag(), "NAK");
+            return true;
+        }
         boolean room = !call.roomless() && open.size() < most;
         if (!room) {
             Log.line("no-room", open.size() + " views in hand");
--- a/router/src/main/java/tamarindroute/gateway/Chain.java
+++ b/router/src/main/java/tamarindroute/gateway/Chain.java
@@ -51,6 +51,11 @@
         admit.ready(now);
     }
 
+    /** Takes in no more. */
+    void leave() {
+        admit.leave();
+    }
+
     /** Answers all that is in hand. */
     void endAll() {
         admit.endAll();
--- a/router/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/router/src/main/java/tamarindroute/gateway/Gateway.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import sun.misc.Signal;
@@ -13,6 +17,7 @@
 import tamarindroute.host.Config;
 import tamarindroute.host.Instance;
 import tamarindroute.host.Roster;
+import tamarindroute.host.Steady;
 import tamarindroute.log.Log;
 
 /**
@@ -26,17 +31,21 @@
     /** SIGKILL may come 0.7 s after the longest cut-off, counted as 3 s at most; all is answered before. */
     private static final Duration LONGEST = Duration.ofSeconds(3);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(500);
+    /** For those answers' bytes to leave and the clients to close; the rest of the 0.7 s is the machine's own end. */
+    private static final Duration LAST_BYTES = Duration.ofMillis(100);
 
     private final Instance instance;
     private final Clock clock;
     private final Config config;
     private final Chain chain;
     private final WarmUp warmUp;
+    private final Duration longest;
     private final Companion companion;
 
     private Gateway(Config config, Function<Settings, Decisions> module, Companion companion) throws IOException {
         this.companion = companion;
         this.config = config.started();
+        this.longest = config.settings().longestCutOff();
         this.clock = new Clock();
         Decisions decisions = module.apply(config.settings().settings(config.seed()));
         instance = new Instance(config, clock, List.of(decisions));
@@ -124,29 +133,46 @@
         }
     }
 
-    /** On SIGTERM, on the stopping thread: takes in on for a while, answers all, and lets the process end. */
+    /**
+     * On SIGTERM, on the stopping thread, which waits and does nothing else: takes in on for a while, then shuts the
+     * door, answers all, and lets the process end when the last bytes have left. A second SIGTERM changes nothing.
+     */
     private void stop() {
-        Duration from = clock.now();
+        Duration from = Steady.now();
+        CompletableFuture<Void> quiet = new CompletableFuture<>();
         clock.handOver(() -> {
+            clock.after(STILL_COMING, () -> quiet.complete(null));
             chain.ready(false);
             if (companion != null) {
                 companion.stopping();
             }
         });
+        await(quiet, STILL_COMING.plus(LAST_BYTES));
+        instance.sockets().shutDoor();
+        Duration left = from.plus(longest.compareTo(LONGEST) < 0 ? longest : LONGEST).plus(LAST_ANSWERS)
+                .minus(Steady.now());
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        clock.handOver(() -> leave(left, over));
+        await(over, left.plus(LAST_BYTES));
+        Log.line("stop", Steady.now().minus(from).toMillis() + " ms after SIGTERM, " + chain.inHand() + " in hand");
+        instance.sockets().shutDown();
+    }
+
+    /** Clients go as they have their answers; what is in hand at last is answered then, and its bytes leave. */
+    private void leave(Duration left, CompletableFuture<Void> over) {
+        clock.after(left, chain::endAll);
+        chain.leave();
+        instance.sockets().whenNoClients(() -> over.complete(null));
+    }
+
+    /** Clients that never close, or an owner's thread without time for it, do not hold the end. */
+    private static void await(CompletableFuture<Void> what, Duration atMost) {
         try {
-            Thread.sleep(STILL_COMING.toMillis());
-            Duration longest = config.settings().longestCutOff();
-            Duration end = from.plus(longest.compareTo(LONGEST) < 0 ? longest : LONGEST).plus(LAST_ANSWERS);
-            while (clock.now().compareTo(end) < 0 && chain.inHand() > 0) {
-                Thread.sleep(20);
-            }
-            Log.line("stop", clock.now().minus(from).toMillis() + " ms after SIGTERM, " + chain.inHand() + " in hand");
-            clock.handOver(chain::endAll);
-            // The last answers are with MINA's thread, which needs a moment to write them.
-            Thread.sleep(50);
-        } catch (InterruptedException | IOException e) {
+            what.get(Math.max(0, atMost.toMillis()), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            // The end comes all the same, and its line tells what was left.
+        } catch (InterruptedException | ExecutionException e) {
             Log.line("stop", e);
         }
-        instance.sockets().shutDown();
     }
 }
--- a/router/src/main/java/tamarindroute/gateway/TakeIn.java
+++ b/router/src/main/java/tamarindroute/gateway/TakeIn.java
@@ -24,6 +24,8 @@
 
     private static final int CALL_WORDS = 4;
     private static final int LONGEST_WORD = 4096;
+    /** A client that has left must get no attempt begun 0.1 s later; half of it is for this gateway's own backlog. */
+    private static final Duration LEFT_AFTER = Duration.ofMillis(50);
     /** A write brings 48,000 bytes at most. */
     private static final int LONGEST_BODY = 48 * 1024;
 
@@ -54,6 +56,7 @@
     private boolean asked;
     private int unusable;
     private Runnable patience;
+    private Runnable leaving = () -> { };
 
     TakeIn(Admit admit, Relay relay, Pool pool, Clock clock, Connection connection) {
         this.admit = admit;
@@ -67,7 +70,15 @@
     /** Silence, half a request or a body without end: the connection goes, once the views open on it are over. */
     private void stalled() {
         Log.line("client-silent", asked ? "a request that was not made whole" : "no request at all");
-        inputClosed();
+        readNoMore();
+    }
+
+    /** What is open is still answered; what the client sends from now on is nobody's. */
+    private void readNoMore() {
+        lastFrame = true;
+        outlet.connection.discard();
+        dropBody();
+        closeIfDone();
     }
 
     /** A request that is coming in makes it the last to go: half of it would be lost with the connection. */
@@ -85,17 +96,16 @@
 
     @Override
     public void received(ByteBuffer bytes) {
-        if (lastFrame) {
-            bytes.position(bytes.limit());
-            return;
-        }
         try {
-            while (true) {
+            while (!lastFrame) {
                 switch (reader.next(bytes)) {
                     case MORE -> {
                         if (patience == null && !reader.atRest()) {
                             patience = clock.after(WHOLE_FRAME, this::stalled);
                         }
+                        if (admit.leaving()) {
+                            closeIfDone();
+                        }
                         return;
                     }
                     case HEAD -> roomless = false;
@@ -119,9 +129,11 @@
                 }
             }
         } catch (MalformedException e) {
+            // The other requests that are open here are sound: closed at once, they would lose their answers.
             Log.line("client-unreadable", e.getMessage());
-            outlet.connection.close(Ending.UNREADABLE, false);
+            readNoMore();
         }
+        bytes.position(bytes.limit());
     }
 
     private void dropBody() {
@@ -167,23 +179,36 @@
         closeIfDone();
     }
 
+    /**
+     * A client that closed, or one that sends no more but reads. What is out may still be answered; no attempt more
+     * is begun for it, and after a moment none goes out that waits for its connection to come up.
+     */
     @Override
     public void inputClosed() {
         lastFrame = true;
+        open.values().forEach(held -> held.noMore = true);
+        leaving = clock.after(LEFT_AFTER, () -> open.values().forEach(held -> held.unwanted = true));
         closeIfDone();
     }
 
+    /** What has come already, and waits to be used, is answered first. */
+    @Override
+    public void doorShut() {
+        clock.handOver(this::closeIfDone);
+    }
+
     /** A view of this connection is over. */
     void done(Held held) {
         open.remove(held.tag, held);
         usedAt = clock.now();
-        if (lastFrame) {
+        if (lastFrame || admit.leaving()) {
             closeIfDone();
         }
     }
 
     private void closeIfDone() {
         if (open.isEmpty()) {
+            lastFrame = true;
             outlet.connection.close(Ending.LET_GO, true);
         }
     }
@@ -193,6 +218,7 @@
         if (patience != null) {
             patience.run();
         }
+        leaving.run();
         dropBody();
         List.copyOf(open.values()).forEach(admit::vanished);
         outlet.ended();
--- a/router/src/main/java/tamarindroute/gateway/WarmUp.java
+++ b/router/src/main/java/tamarindroute/gateway/WarmUp.java
@@ -105,7 +105,7 @@
             private Peer behind;
             private final Runnable patience = clock.after(TakeIn.WHOLE_FRAME, () -> {
                 if (behind == null) {
-                    connection.close(Ending.LET_GO, false);
+                    connection.close(Ending.LET_GO, true);
                 }
             });
 
@@ -128,12 +128,21 @@
             @Override
             public void inputClosed() {
                 if (behind == null) {
-                    connection.close(Ending.LET_GO, false);
+                    connection.close(Ending.LET_GO, true);
                 } else {
                     behind.inputClosed();
                 }
             }
 
+            @Override
+            public void doorShut() {
+                if (behind == null) {
+                    connection.close(Ending.LET_GO, true);
+                } else {
+                    behind.doorShut();
+                }
+            }
+
             @Override
             public Duration uselessSince() {
                 return behind == null ? Duration.ZERO : behind.uselessSince();
@@ -142,7 +151,7 @@
             @Override
             public void idle() {
                 if (behind == null) {
-                    connection.close(Ending.LET_GO, false);
+                    connection.close(Ending.LET_GO, true);
                 } else {
                     behind.idle();
                 }
