--- a/router/src/main/java/tamarindroute/gateway/Book.java
+++ b/router/src/main/java/tamarindroute/gateway/Book.java
@@ -133,10 +133,12 @@
 
     /** The client's time is over: what is out is too late, and the final answer is due. */
     void cutOff(Held held) {
+        // Told of the first trip's end the module may name another, which nobody would wait for.
+        held.noMore = true;
         for (Send.TripOut out : List.copyOf(held.out)) {
             out.quit();
             out.passage.drop();
-            end(out, Result.TIMED_OUT, Detail.UNTOLD, null, held.over);
+            end(out, ended(out, Result.TIMED_OUT), Detail.UNTOLD, null, held.over);
         }
         if (!held.over) {
             Log.line("defect", "no final answer at the cut-off");
@@ -144,11 +146,28 @@
         }
     }
 
+    /** What never got a connection to be written to cannot have run, whatever ends it. */
+    private static Result ended(Send.TripOut out, Result ifBegun) {
+        return out.begun ? ifBegun : Result.NOT_SENT;
+    }
+
+    /** The client seems to have gone: a trip that waits for its connection ends now, and none more is begun. */
+    void unwanted(Held held) {
+        held.noMore = true;
+        held.unwanted = true;
+        for (Send.TripOut out : List.copyOf(held.out)) {
+            if (!out.begun) {
+                out.quit();
+                broken(out, Result.NOT_SENT);
+            }
+        }
+    }
+
     void vanished(Held held) {
         over(held);
         for (Send.TripOut out : List.copyOf(held.out)) {
             out.quit();
-            broken(out, Result.RECALLED);
+            broken(out, ended(out, Result.RECALLED));
         }
         if (held.out.isEmpty()) {
             held.release();
--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -64,7 +64,7 @@
         @Override
         public boolean stillWanted() {
             try {
-                return !held.over && decisions.mayStillGo(held.view, trip, clock.now());
+                return !held.over && !held.unwanted && decisions.mayStillGo(held.view, trip, clock.now());
             } catch (RuntimeException e) {
                 Log.defect(e);
                 return false;
