Cold caches: a fleet's sum stays in every window; what never got there comes back

Cause: Node.bears let 0.7 of a gateway's share flow in and 0.4 wait, so gateways that were idle and then all come at once sent 1.1 of the bound in one window ("most = 0.4 * rate * window", "allowance + 0.7 * rate * ..."). By lot the mean of such a window was 1.1 N too, with draws that knew nothing of each other. "source.allowance += tier == PARENT ? charge : 0" also paid back for a hit at the parent itself, for a hit that was renewed behind, and to a process started since; a view that had won a lot before a restart went to the new process unpaid. NOT_SENT and UNREACHED gave nothing back.

Change: 0.65 flows in, 0.3 may wait, or one view if that is within 0.35: at most the whole in a window. Odds of the lot add up, from a place of each gateway's own; a whole one wins. Node.refund: for trips that never left and fills their cache did not need, never for trips from before the process was told of. A restart drops what was won.

--- a/policy/src/main/java/tamarindroute/policy/Judging.java
+++ b/policy/src/main/java/tamarindroute/policy/Judging.java
@@ -3,6 +3,7 @@
 import static tamarindroute.policy.Caches.seconds;
 
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import tamarindroute.decision.*;
 import tamarindroute.decision.Outcome.Detail;
 import tamarindroute.decision.Outcome.Result;
@@ -76,7 +77,12 @@
             case MISSED -> source.judge(-1, now);
             case ERRED, BROKEN -> blame(trip, node, source, false, 1, now);
             case TIMED_OUT -> blame(trip, node, source, true, 0.5, now);
-            case UNREACHED -> node.judge(1, now);
+            case UNREACHED, NOT_SENT -> {
+                if (outcome.result() == Result.UNREACHED) {
+                    node.judge(1, now);
+                }
+                Stream.of(node, source).distinct().forEach(n -> n.refund(all.charge(view), trip.sent));
+            }
             case TURNED_AWAY -> {
                 rules.swamped().add(1, now);
                 if (source != node) {
@@ -97,7 +103,9 @@
         if (outcome.detail() == Detail.HIT) {
             popularity.noteHit(item.density());
             all.near = atHome ? Caches.toward(all.near, wait) : all.near;
-            source.allowance += source.cache.tier == Cache.Tier.PARENT ? charge : 0;
+            if (source != node && !trip.renew) {
+                source.refund(charge, trip.sent);
+            }
         } else if (source != node && outcome.detail().compareTo(Detail.FILLED) >= 0
                 && outcome.detail() != Detail.OLD) {
             source.judge(-1, now);
--- a/policy/src/main/java/tamarindroute/policy/Node.java
+++ b/policy/src/main/java/tamarindroute/policy/Node.java
@@ -23,6 +23,8 @@
     int hubsAway;
     private View drawnFor;
     private boolean won;
+    /** The odds added up toward the next view by lot; gateways start at places of their own. */
+    private double luck = -1, toldAt;
 
     Node(Cache cache, Caches all) {
         this.cache = cache;
@@ -40,6 +42,8 @@
     void listed(double now) {
         if (!Objects.equals(upSince, cache.upSince)) {
             upSince = cache.upSince;
+            toldAt = now;
+            won = false;
             allowance = 0;
             allowanceAt = now;
             barred = false;
@@ -71,34 +75,47 @@
     }
 
     /** Whether a cold cache may get this much more work from this gateway. Each keeps to its share of the
-     *  multiple: 0.7 of it flows in, 0.4 may wait. Where that is less than the view, it goes by lot, once a
-     *  view, at odds of what has flowed in, which is then spent: gateways that each saved up a view came
-     *  together, and a cache of very many starved until then. Spent at the cache's start as at this gateway's
-     *  own, which forgot what it sent. */
+     *  multiple: 0.65 of it flows in, 0.3 may wait, or one view if that is within 0.35: no window has more
+     *  than the whole, though all come at once after a pause. Where what may wait is less than the view, it
+     *  goes by lot, once a view, at odds of what has flowed in, which is then spent: gateways that each saved
+     *  up a view came together, and a cache of very many starved until then. Odds add up and each whole one
+     *  wins: draws apart from each other swing further. Spent at the cache's start as at this gateway's own,
+     *  which forgot what it sent. */
     boolean bears(double work, double now) {
         if (!cold(now)) {
             return true;
         }
         double rate = rate(now) * dealt(now);
-        double most = 0.4 * rate * seconds(start.window());
-        allowance = Math.min(most, allowance + 0.7 * rate * (now - allowanceAt));
+        double whole = rate * seconds(start.window());
+        double most = Math.max(Math.min(0.35 * whole, work), 0.3 * whole);
+        allowance = Math.min(most, allowance + 0.65 * rate * (now - allowanceAt));
         allowanceAt = now;
         if (most >= work || all.asking == null) {
             return allowance >= work;
         }
         if (drawnFor != all.asking) {
             drawnFor = all.asking;
-            won = all.chance() * work < allowance;
+            luck = luck < 0 ? all.chance() : luck;
+            double odds = Math.max(0, allowance / work);
+            won = luck + odds >= 1;
+            luck += won ? 0 : odds;
             allowance = won ? allowance : Math.min(0, allowance);
         }
         return won;
     }
 
     void spend(double work) {
-        allowance = won && drawnFor == all.asking ? 0 : allowance - work;
+        boolean drawn = won && drawnFor == all.asking;
+        luck = drawn ? Math.max(0, luck + allowance / work - 1) : luck;
+        allowance = drawn ? 0 : allowance - work;
         won = false;
     }
 
+    /** A trip that did not get here gives back what it took, but not to a process that was told of since. */
+    void refund(double work, Duration sent) {
+        allowance += cold(seconds(sent)) && seconds(sent) > toldAt ? work : 0;
+    }
+
     /** The sequential test: the log of how much better the outcomes fit a bad cache, which fails 4 in 10,
      *  than a good one, which fails 1 in 50; never below 0, fading in 20 s, barred at 6. Guards against
      *  caches that fail fast, hang or are gone, whatever the cause. */
