Cold caches: a trip is charged by its class's mean, as the rule counts

Cause: "Math.max(work(view), sendingTime(view.profile).value)": the rule weighs each attempt by its class's mean sending time, and a view of five times the mean had a fifth of the others' odds to get into a cold cache, or none. Change: the profile's mean, nothing else.

--- a/policy/src/main/java/tamarindroute/policy/Caches.java
+++ b/policy/src/main/java/tamarindroute/policy/Caches.java
@@ -109,9 +109,9 @@
         return seconds(view.arrived.plus(view.profile.agreedTime())) + view.profile.stretch() * work(view);
     }
 
-    /** What a trip may cost a cold cache: the view's own sending time, at least its profile's mean. */
+    /** What a trip costs a cold cache, as the rule counts: by class, or the largest hardly ever got in. */
     double charge(View view) {
-        return Math.max(work(view), sendingTime(view.profile).value);
+        return sendingTime(view.profile).value;
     }
 
     static double toward(double mean, double sample) {
