Sizes: a class's larger views get their turn where they are answered too seldom

Cause: "inTime(view, 0, crowded, crowded < 1.4 ? 1 : 0.45, now)" and the bounds on fills hold off what takes long to send, so in a crowded location always the same, largest views: a share of their class's that nothing bounded. Change: Caches keeps the share answered of each class, of its views over the mean sending time and of those over twice that (about the largest three tenths and the largest tenth). Where it is under 0.7 of the class's, inTime asks of such a view only to end before its client is gone. Nothing changes while they are answered as the others are.

--- a/policy/src/main/java/tamarindroute/policy/Caches.java
+++ b/policy/src/main/java/tamarindroute/policy/Caches.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.*;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 import tamarindroute.decision.*;
 
@@ -25,6 +26,7 @@
     double near = 0.005, far = 0.05;
     private final Fading fills = new Fading(3, 0);
     private final Map<Profile, Fading> sendingTimes = new IdentityHashMap<>();
+    private final Map<Profile, List<Fading>> answered = new IdentityHashMap<>();
 
     Caches(Settings settings) {
         this.settings = settings;
@@ -105,6 +107,28 @@
                 : sendingTime(view.profile).value;
     }
 
+    /** The share answered lately: of a class, of its views over the mean sending time, and of those over
+     *  twice that, about the largest tenth. */
+    private Fading answered(View view, int size) {
+        return answered.computeIfAbsent(view.profile, p ->
+                List.of(new Fading(1e9, 1), new Fading(1e9, 1), new Fading(1e9, 1))).get(size);
+    }
+
+    private int size(View view) {
+        return (int) Math.min(2, work(view) / sendingTime(view.profile).value);
+    }
+
+    void ended(View view, boolean well, double now) {
+        IntStream.of(0, size(view)).distinct()
+                .forEach(size -> answered(view, size).toward(well ? 1 : 0, 0.03, now));
+    }
+
+    /** Whether views of this size are answered so much less often than their class that it is their turn. Two
+     *  thirds of the class's share are agreed on quiet days; 0.7 leaves room for chance. */
+    boolean owed(View view) {
+        return answered(view, size(view)).value < 0.7 * answered(view, 0).value;
+    }
+
     double agreed(View view) {
         return seconds(view.arrived.plus(view.profile.agreedTime())) + view.profile.stretch() * work(view);
     }
--- a/policy/src/main/java/tamarindroute/policy/Judging.java
+++ b/policy/src/main/java/tamarindroute/policy/Judging.java
@@ -65,6 +65,7 @@
         switch (outcome.result()) {
             case HONOURED -> {
                 node.judge(-1, now);
+                all.ended(view, true, now);
                 if (source == node && node.cache.tier == Cache.Tier.EDGE) {
                     double alone = all.work(view) * Math.max(1, node.busy(now));
                     double slower = (seconds(outcome.took()) - all.near) / alone;
--- a/policy/src/main/java/tamarindroute/policy/Placing.java
+++ b/policy/src/main/java/tamarindroute/policy/Placing.java
@@ -16,6 +16,9 @@
                 || seconds(view.cutOff) - now < 0.002 || !Rules.mayRun(view, now) ? null
                 : view.profile.kept() ? keptTrip(view, now) : passedTrip(view, now);
         if (trip == null) {
+            if (view.trips.stream().noneMatch(t -> t.outcome == null)) {
+                all.ended(view, false, now);
+            }
             return rules.giveUp(view);
         }
         all.count(trip, 1, now);
@@ -26,10 +29,12 @@
         return trip;
     }
 
-    /** Whether a view sent now would be back within this share of its agreed time. */
+    /** Whether a view sent now would be back within this share of its agreed time; a large one whose turn it
+     *  is, before its client is gone: whatever is held off by its sending time, the largest always are. */
     private boolean inTime(View view, double wait, double crowding, double share, double now) {
         double arrived = seconds(view.arrived);
-        return now + wait + all.work(view) * crowding < arrived + share * (all.agreed(view) - arrived);
+        double end = all.owed(view) ? seconds(view.cutOff) : arrived + share * (all.agreed(view) - arrived);
+        return now + wait + all.work(view) * crowding < end;
     }
 
     /** The ordinary path: a hot object at the least busy edge, any other at its hashed cache. A look goes
