--- a/policy/src/test/java/tamarindroute/policy/ColdFleetTest.java
+++ b/policy/src/test/java/tamarindroute/policy/ColdFleetTest.java
@@ -177,6 +177,7 @@
     }
 
     private void check(String what) {
+        assertThat(worst).as("what anything reached").isNotEmpty();
         worst.forEach((mark, most) -> {
 assertThat(most).as(what + " at " + mark).isLessThan(1);
         });
