Settings that no gateway could work by end the start with one line that names the key

Cause: Config.read let any value through and SettingsReader took what it could not use for zero or for the wide side. HubOf [-1] gave a ring of no hubs (Caches.hubsAway: steps % ring) and an ArithmeticException on the owner's thread before the door was opened: the process stayed and listened nowhere. Zone -1 threw from items.get(place) after the owner's thread had started: a stack trace, and a process that did not end. No ConnectTimeoutNs was 0: no connection ever came up. No GoneEverywhereNs was 0: no purge bound. An unknown word for Neighbours allowed siblings (!equals("off")). Two classes of one plain name counted as the first, whatever the second's effect. listen and feed by a name were looked up. known of another form ended the start.

Change: SettingsCheck refuses by key and value; absent keys have stated, careful values; unknown words and names told twice count as the careful side, with a config-odd line; addresses are numbers; weights and times of the list that can't be are passed over.

--- a/cli/src/main/java/tamarindroute/start/Start.java
+++ b/cli/src/main/java/tamarindroute/start/Start.java
@@ -41,6 +41,11 @@
         } catch (IOException e) {
             System.err.println(subcommand + ": " + e.getMessage());
             return FAILED;
+        } catch (RuntimeException e) {
+            // A defect: the threads that were started would else keep a process that nobody can use.
+            System.err.println(subcommand + ": a defect: " + String.valueOf(e).lines().findFirst().orElse("") + " at "
+                    + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "no place"));
+            return FAILED;
         }
     }
 }
--- a/router/src/main/java/tamarindroute/gateway/Admit.java
+++ b/router/src/main/java/tamarindroute/gateway/Admit.java
@@ -33,8 +33,8 @@
     private final Clock clock;
     private final Route route;
     private final Book book;
-    private final List<String> names;
-    private final List<Profile> profiles;
+    /** By their names as the settings spell them, without spaces and commas. */
+    private final Map<String, Profile> profiles;
     private final int most;
     private final double longestWait;
     /** The views in hand by their ids. */
@@ -46,8 +46,7 @@
         this.clock = clock;
         this.route = route;
         this.book = book;
-        this.names = settings.profileNames();
-        this.profiles = settings.profiles();
+        this.profiles = settings.profilesByName();
         this.most = settings.mostInHand();
         this.longestWait = MUCH_LONGER * settings.longestCutOff().toMillis();
     }
@@ -94,8 +93,8 @@
 
     /** Reads what a cache could use, and no more: what none could would end its connection, others' views too. */
     private Held held(TakeIn client, TakeIn.Call call) throws MalformedException {
-        int profile = names.indexOf(SettingsReader.plain(call.profile()));
-        if (profile < 0 || call.profile().indexOf(',') >= 0) {
+        Profile profile = profiles.get(SettingsReader.plain(call.profile()));
+        if (profile == null || call.profile().indexOf(',') >= 0) {
             throw new MalformedException("no such profile");
         }
         Fields fields = Fields.read(call.fields());
@@ -106,7 +105,7 @@
         if (id == null || object == null || fields.text("budget") == null) {
             throw new MalformedException("no id, no object or no time to wait");
         }
-        if (key == null && profiles.get(profile).repeat() == Profile.Repeat.NUMBERED) {
+        if (key == null && profile.repeat() == Profile.Repeat.NUMBERED) {
             throw new MalformedException("no number in a numbered profile");
         }
         if (open.containsKey(id)) {
@@ -117,7 +116,7 @@
             throw new MalformedException("no time to wait");
         }
         Duration arrived = client.outlet.connection.readAt();
-        View view = new View(profiles.get(profile), Long.parseUnsignedLong(object, 16),
+        View view = new View(profile, Long.parseUnsignedLong(object, 16),
                 fields.whole("piece", Integer.MAX_VALUE), fields.whole("lot", LAST_GROUP),
                 fields.number("mem", 0, MOST_KB), arrived, arrived.plusNanos((long) (budget * 1e6)));
         return new Held(client, call, view, id, object, key, copy);
--- a/router/src/main/java/tamarindroute/gateway/Gateway.java
+++ b/router/src/main/java/tamarindroute/gateway/Gateway.java
@@ -98,11 +98,16 @@
         } catch (IOException e) {
             fail(e.getMessage());
         }
-        instance.known();
+        try {
+            instance.known();
+        } catch (RuntimeException e) {
+            // A list that the module can't take must not keep the door shut; the feed tells it again.
+            Log.defect(e);
+        }
         try {
             instance.sockets().listen(config.listen(), connection ->
                     warmUp.over() ? chain.takeIn(connection) : warmUp.door(connection, chain::takeIn));
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             fail("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
         instance.follow();
--- a/router/src/main/java/tamarindroute/host/Config.java
+++ b/router/src/main/java/tamarindroute/host/Config.java
@@ -6,7 +6,9 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -14,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32;
+import tamarindroute.log.Log;
 import tamarindroute.settings.MalformedSettingsException;
 import tamarindroute.settings.SettingsReader;
 
@@ -39,31 +42,71 @@
             throw new MalformedSettingsException("the configuration " + path + " can't be read");
         }
         try {
-            JsonObject root = JsonParser.parseString(text).getAsJsonObject();
-            String known = root.has("known") ? root.getAsJsonObject("known").toString() : "";
-            JsonObject limits = root.has("limits") ? root.getAsJsonObject("limits") : new JsonObject();
-            for (String needed : new String[] {"listen", "feed", "seed", "settings"}) {
-                if (!root.has(needed)) {
-                    throw new IllegalArgumentException("no " + needed);
-                }
-            }
+            JsonObject root = object(JsonParser.parseString(text), "the file");
+            JsonObject limits = root.has("limits") ? object(root.get("limits"), "limits") : new JsonObject();
             Map<String, String> values = new HashMap<>();
-            flatten("", root.getAsJsonObject("settings"), values);
-            return new Config(address(root.get("listen").getAsString()), address(root.get("feed").getAsString()),
-                    seed(root.get("seed").getAsString()), limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1024 * 1024,
-                    (int) limit(limits, "sockets", LEAST_DESCRIPTORS), known, new SettingsReader(values));
-        } catch (JsonParseException | IllegalStateException | NullPointerException | ClassCastException
-                | IllegalArgumentException | UnsupportedOperationException e) {
+            flatten("", object(needed(root, "settings"), "settings"), values);
+            SettingsReader settings = new SettingsReader(values);
+            // What is odd in the list of the start is told where that is read, and ends nothing: the feed has it too.
+            String known = root.has("known") && !root.get("known").isJsonNull() ? root.get("known").toString() : "";
+            Config config = new Config(address(root, "listen"), address(root, "feed"),
+                    seed(plain(needed(root, "seed"), "seed")), limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1024 * 1024,
+                    (int) limit(limits, "sockets", LEAST_DESCRIPTORS), known, settings);
+            settings.check().forEach(odd -> Log.line("config-odd", odd));
+            return config;
+        } catch (JsonParseException | IllegalArgumentException | MalformedSettingsException e) {
             throw new MalformedSettingsException("the configuration " + path + " can't be used: "
                     + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
+    private static JsonElement needed(JsonObject of, String name) {
+        if (!of.has(name) || of.get(name).isJsonNull()) {
+            throw new IllegalArgumentException("no " + name);
+        }
+        return of.get(name);
+    }
+
+    private static JsonObject object(JsonElement value, String name) {
+        if (!value.isJsonObject()) {
+            throw new IllegalArgumentException(name + " is no object: " + told(value));
+        }
+        return value.getAsJsonObject();
+    }
+
+    private static String plain(JsonElement value, String name) {
+        if (!value.isJsonPrimitive()) {
+            throw new IllegalArgumentException(name + " is no plain value: " + told(value));
+        }
+        return value.getAsString();
+    }
+
+    private static String told(JsonElement value) {
+        return SettingsReader.told(value.toString());
+    }
+
+    private static InetSocketAddress address(JsonObject of, String name) {
+        String text = plain(needed(of, name), name);
+        try {
+            return address(text);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(name + " is " + SettingsReader.told(text) + ": no address NUMBER:PORT");
+        }
+    }
+
     /** A whole number from 1 up; what is no such number is no limit that could be kept. */
     private static long limit(JsonObject limits, String name, long absent) {
-        long limit = limits.has(name) ? (long) limits.get(name).getAsDouble() : absent;
+        if (!limits.has(name) || limits.get(name).isJsonNull()) {
+            return absent;
+        }
+        long limit = 0;
+        try {
+            limit = (long) Double.parseDouble(plain(limits.get(name), "limits." + name));
+        } catch (NumberFormatException e) {
+            // Told below, as for what is no sensible number.
+        }
         if (limit < 1 || limit > Integer.MAX_VALUE) {
-            throw new IllegalArgumentException("limits." + name + " is " + limits.get(name));
+            throw new IllegalArgumentException("limits." + name + " is " + told(limits.get(name)));
         }
         return limit;
     }
@@ -85,10 +128,32 @@
     /** HOST:PORT, the host a number, for there are no names to be looked up. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("no address: " + text);
+        int port = colon <= 0 ? 0 : Integer.parseInt(text.substring(colon + 1));
+        if (port < 1) {
+            throw new IllegalArgumentException("no address: " + SettingsReader.told(text));
+        }
+        return new InetSocketAddress(host(text.substring(0, colon)), port);
+    }
+
+    /** Java takes what is no number for a name, and asks for it: there is nobody to ask, and the start would wait. */
+    private static InetAddress host(String text) {
+        String[] parts = text.split("\\.", -1);
+        byte[] bytes = new byte[parts.length];
+        try {
+            if (text.indexOf(':') >= 0) {
+                return InetAddress.getByName(text);
+            }
+            for (int i = 0; i < parts.length; i++) {
+                int part = Integer.parseInt(parts[i]);
+                bytes[i] = (byte) part;
+                if (part < 0 || part > 255) {
+                    throw new IllegalArgumentException("no address: " + SettingsReader.told(text));
+                }
+            }
+            return InetAddress.getByAddress(bytes);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("no address: " + SettingsReader.told(text));
         }
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
     private static long seed(String text) {
--- a/router/src/main/java/tamarindroute/host/Roster.java
+++ b/router/src/main/java/tamarindroute/host/Roster.java
@@ -277,7 +277,9 @@
         };
         int zone = entry.has("zone") ? place(zones, entry.get("zone").getAsString()) : cache.zone;
         int cell = entry.has("cell") ? entry.get("cell").getAsInt() : cache.cell;
-        double weight = entry.has("weight") ? entry.get("weight").getAsDouble() : cache.weight;
+        double told = entry.has("weight") ? entry.get("weight").getAsDouble() : cache.weight;
+        // What is no weight would make the cache the first or the last for all; the rest of the entry holds.
+        double weight = told > 0 && told < Double.POSITIVE_INFINITY ? told : cache.weight;
         int kind = entry.has("kind") ? place(kinds, entry.get("kind").getAsString()) : -1;
         Cache.Tier tier = kind < 0 ? cache.tier : kind == originKind ? Cache.Tier.ORIGIN
                 : kind == parentKind ? Cache.Tier.PARENT : Cache.Tier.EDGE;
@@ -296,7 +298,7 @@
         cache.weight = weight;
         cache.tier = tier;
         if (entry.has("started_ms")) {
-            cache.upSince = up == 0 ? null : clock.at(up);
+            cache.upSince = up == 0 ? null : past(up);
         }
         if (line == null || !line.address().equals(address) || line.isLetGo()) {
             if (line != null) {
@@ -321,10 +323,17 @@
         return crc.getValue();
     }
 
+    /** What is told has happened; a time to come, or one past all reckoning, would bind for as long. */
+    private Duration past(long unixMillis) {
+        Duration now = clock.now();
+        Duration at = clock.at(Math.max(0, unixMillis));
+        return at.compareTo(now) < 0 ? at : now;
+    }
+
     private void purged(JsonObject purge) {
         Long object = purge.has("key") ? Long.parseUnsignedLong(purge.get("key").getAsString(), 16) : null;
         Purge told = new Purge(object, object == null ? purge.get("group").getAsInt() : -1,
-                clock.at(purge.get("at").getAsLong()));
+                past(purge.get("at").getAsLong()));
         modules.forEach(module -> module.purged(told, clock.now()));
     }
 }
