--- a/router/src/main/java/tamarindroute/host/Config.java
+++ b/router/src/main/java/tamarindroute/host/Config.java
@@ -52,7 +52,7 @@
             Config config = new Config(address(root, "listen"), address(root, "feed"),
                     seed(plain(needed(root, "seed"), "seed")), limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1024 * 1024,
                     (int) limit(limits, "sockets", LEAST_DESCRIPTORS), known, settings);
-            settings.check().forEach(odd -> Log.line("config-odd", odd));
+            checked(settings).forEach(odd -> Log.line("config-odd", odd));
             return config;
         } catch (JsonParseException | IllegalArgumentException | MalformedSettingsException e) {
             throw new MalformedSettingsException("the configuration " + path + " can't be used: "
@@ -60,6 +60,14 @@
         }
     }
 
+    private static List<String> checked(SettingsReader settings) throws MalformedSettingsException {
+        try {
+            return settings.check();
+        } catch (MalformedSettingsException e) {
+            throw new MalformedSettingsException("settings: " + e.getMessage());
+        }
+    }
+
     private static JsonElement needed(JsonObject of, String name) {
         if (!of.has(name) || of.get(name).isJsonNull()) {
             throw new IllegalArgumentException("no " + name);
--- a/router/src/main/java/tamarindroute/settings/SettingsCheck.java
+++ b/router/src/main/java/tamarindroute/settings/SettingsCheck.java
@@ -34,7 +34,7 @@
     List<String> check() throws MalformedSettingsException {
         int zones = names("Zones");
         int kinds = names("Skus");
-        whole("Zone", 0, zones - 1, true);
+        place("Zone", 0, "Zones", zones, true);
         whole("ReplicasOfMe", 1, 1_000_000, true);
         int classes = classes();
         truths("FamilyInfo.NeverKept", classes);
@@ -42,8 +42,8 @@
         numbers("FamilyInfo.HubOf", 0, zones - 1, true);
         numbers("FamilyInfo.CountByZone", 0, 1_000_000, true);
         numbers("FamilyInfo.InletKbPerS", 0, MOST, false);
-        whole("FamilyInfo.MidKind", -1, kinds - 1, false);
-        whole("FamilyInfo.StoreKind", -1, kinds - 1, false);
+        place("FamilyInfo.MidKind", -1, "Skus", kinds, false);
+        place("FamilyInfo.StoreKind", -1, "Skus", kinds, false);
         number("FamilyInfo.PaceKbPerS", 0, MOST, false);
         for (String key : new String[] {"FamilyInfo.GoneEverywhereNs", "FamilyInfo.UpperColdNs", "Obligations.ColdNs",
             "Obligations.MustAskInNs", "Limits.KeepaliveNs", "Limits.MaxRetryAfterNs"}) {
@@ -145,6 +145,13 @@
         }
     }
 
+    private void place(String key, int least, String list, int size, boolean needed) throws MalformedSettingsException {
+        whole(key, least, Integer.MAX_VALUE, needed);
+        if (value(key) != null && Double.parseDouble(values.get(key)) >= size) {
+            throw refused(key, "is " + told(values.get(key)) + ", and " + list + " holds " + size);
+        }
+    }
+
     /** A list with a number for each, if it is there at all; the first figure is how many there have to be, or 0. */
     private void numbers(String key, int count, double most, boolean whole) throws MalformedSettingsException {
         String[] items = items(key, count);
--- a/router/src/test/java/tamarindroute/host/RosterTest.java
+++ b/router/src/test/java/tamarindroute/host/RosterTest.java
@@ -159,6 +159,23 @@
         assertThat(roster.id(roster.caches().get(0))).isEqualTo("s-1");
     }
 
+    /** What a list can't mean of a weight or a time costs neither the entry nor the module's reckoning. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\"weight\":-3", "\"weight\":0", "\"weight\":\"NaN\"", "\"weight\":\"Infinity\"",
+        "\"started_ms\":9223372036854775807", "\"started_ms\":-9223372036854775807"})
+    void aWeightOrATimeThatCannotBeIsPassedOver(String odd) throws Exception {
+        Config config = Config.read(Path.of("example/config.json").toString());
+        Listening listening = new Listening(new Brain(config.settings().settings(1)));
+        Roster roster = roster(listening, config);
+        String entry = "{\"id\":\"s-1\",\"addr\":\"127.0.0.1:9\",\"zone\":\"shed\",\"kind\":\"edge\",\"state\":\"ready\"," + odd + "}";
+        roster.read("{\"n\":2,\"events\":[{\"n\":1,\"members\":{\"full\":true,\"servers\":[" + entry + "]}},"
+                + "{\"n\":2,\"purge\":{\"group\":7,\"at\":9223372036854775807}}]}");
+        assertThat(roster.last()).isEqualTo(2);
+        Cache cache = roster.caches().get(0);
+        assertThat(cache.weight).isEqualTo(1);
+        assertThat(cache.upSince == null || cache.upSince.compareTo(Duration.ofMinutes(1)) < 0).isTrue();
+    }
+
     /** Each change of a long list costs its length and not its square: hundreds are replaced within seconds. */
     @Test
     void changesOfALongListCostItsLength() throws Exception {
