--- a/cli/src/test/java/tamarindroute/endings/Runner.java
+++ b/cli/src/test/java/tamarindroute/endings/Runner.java
@@ -12,7 +12,7 @@
 
 /**
  * Plays many seeds, for those who hunt: -Dseeds=FROM-TO, -Dms=LENGTH, -Dfaults=NAME,... (else some of all, by the
- * seed), -Dout=FOLDER for the journals of broken plays, -Dside=PLAYS_AT_ONCE. Started in the repository's root.
+ * seed; none for none), -Dwithout=NAME,..., -Dout=FOLDER for the journals of broken plays, -Dside=PLAYS_AT_ONCE. Started in the repository's root.
  */
 final class Runner {
 
@@ -63,6 +63,9 @@
                 }
             }
         }
+        for (String name : System.getProperty("without", "").split(",")) {
+            faults.removeIf(fault -> fault.name().equals(name));
+        }
         try {
             Path folder = Files.createDirectories(out.resolve("play-" + seed));
             Journal journal = Play.play(seed, faults, folder, ms);
