--- a/cli/src/test/java/tamarindroute/endings/ScriptedClient.java
+++ b/cli/src/test/java/tamarindroute/endings/ScriptedClient.java
@@ -213,6 +213,10 @@
     }
 
     private void one(int number) throws IOException {
+        if (world.on(Fault.TERM_UNREAD) && chance.nextInt(8) == 0) {
+            unread(new Line(number, true));
+            return;
+        }
         Fault fault = persona();
         Line line = new Line(number, fault == Fault.SLOW_READER);
         int rounds = chance.nextInt(1, 4);
@@ -237,8 +241,58 @@
         rest(line);
     }
 
+    /** Leaves a large answer unread while the gateway ends, and writes once more then: a reset would eat the answer. */
+    private void unread(Line line) {
+        World.thread("unread " + line.label, () -> {
+            SplittableRandom mine = world.chance("unread " + line.label);
+            try {
+                while (world.term == 0 && !line.ended && !world.over) {
+                    World.sleep(2);
+                }
+                if (world.term == 0 || line.ended) {
+                    return;
+                }
+                World.sleep(mine.nextInt(0, 400));
+                line.readsFrom = world.term + 1600 * Journal.MS;
+                large(line, mine);
+                large(line, mine);
+                World.sleep(mine.nextInt(100, 800));
+                request(line, mine);
+                line.await();
+            } catch (IOException e) {
+                world.journal.add(NOTE, "", line.label, "late", e.getMessage());
+            }
+        });
+    }
+
+    private void large(Line line, SplittableRandom chance) throws IOException {
+        List<String> large = World.objects().stream().filter(o -> World.length(o, 0) > 10_000).toList();
+        line.call(Lane.clip, large.get(chance.nextInt(large.size())), 0, 1400, null, new byte[0],
+                String.format("%016x", chance.nextLong()));
+    }
+
+    /** Half a request, and no more: the gateway has to end all the same. */
+    private void half(Line line) {
+        World.thread("half " + line.label, () -> {
+            byte[] whole = ToyServer.frame("RPC.CALL", 1_000_000, "clip", "rid=00000000000000fe,budget=900,obj="
+                    + World.objects().get(0) + ",piece=0,lot=1,mem=1", "body");
+            while (world.term == 0 && !line.ended && !world.over) {
+                World.sleep(2);
+            }
+            try {
+                line.out.write(whole, 0, whole.length / 2);
+            } catch (IOException e) {
+                world.journal.add(NOTE, "", line.label, "half", e.getMessage());
+            }
+        });
+    }
+
     /** Some close; some rest until the gateway ends them, and may write just then. */
     private void rest(Line line) throws IOException {
+        if (world.on(Fault.TERM_HALF) && chance.nextInt(8) == 0) {
+            half(line);
+            return;
+        }
         if (chance.nextInt(3) > 0 || !world.on(Fault.TERM_LATE_BYTES)) {
             line.await();
             line.leave("closed");
