--- a/cli/src/test/java/tamarindroute/endings/Journal.java
+++ b/cli/src/test/java/tamarindroute/endings/Journal.java
@@ -102,7 +102,7 @@
                 .collect(Collectors.groupingBy(Event::rid, TreeMap::new, Collectors.toList()));
     }
 
-    /** What a check may allow beside the protocol's figures: a busy machine's usual, and what this one was seen to do. */
+    /** What a check may allow beside the protocol's figures: a busy machine's usual, and what this one did. */
     long allowance() {
         double worst = of(Kind.STALL).stream().mapToDouble(e -> e.number("ms")).max().orElse(0);
         return (long) ((USUAL_MS + Math.min(worst, MOST_MS)) * MS);
--- a/cli/src/test/java/tamarindroute/endings/OneAnswer.java
+++ b/cli/src/test/java/tamarindroute/endings/OneAnswer.java
@@ -79,7 +79,8 @@
     /** Whether nothing else was open on its connection: one that others are open on may not be closed. */
     private static boolean othersDone(List<Story> stories, Story story) {
         return stories.stream().filter(other -> other != story && other.sent.where().equals(story.sent.where())
-                && other.answers.isEmpty() && other.cancelled == null).allMatch(other -> other.attempts.isEmpty() && other.sent.at() > story.ended.at()
+                && other.answers.isEmpty() && other.cancelled == null).allMatch(other ->
+                other.attempts.isEmpty() && other.sent.at() > story.ended.at()
                 - CROSSING - 150 * Journal.MS);
     }
 }
--- a/cli/src/test/java/tamarindroute/endings/Runner.java
+++ b/cli/src/test/java/tamarindroute/endings/Runner.java
@@ -9,10 +9,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Plays many seeds, for those who hunt: -Dseeds=FROM-TO, -Dms=LENGTH, -Dfaults=NAME,... (else some of all, by the
- * seed; none for none), -Dwithout=NAME,..., -Dout=FOLDER for the journals of broken plays, -Dside=PLAYS_AT_ONCE. Started in the repository's root.
+ * seed; none for none), -Dwithout=NAME,..., -Dout=FOLDER for the journals of broken plays, -Dside=PLAYS_AT_ONCE.
+ * Started in the repository's root. Side by side, a gateway may come up on the port of another play's cache that refuses:
+ * its warm-up then answers there, with bytes that are no cache's.
  */
 final class Runner {
 
@@ -34,7 +37,7 @@
         Path out = Path.of(System.getProperty("out", System.getProperty("java.io.tmpdir")));
         List<Thread> threads = new ArrayList<>();
         Map<String, Integer> counts = new TreeMap<>();
-        java.util.concurrent.atomic.AtomicLong next = new java.util.concurrent.atomic.AtomicLong(Long.parseLong(range[0]));
+        AtomicLong next = new AtomicLong(Long.parseLong(range[0]));
         long last = Long.parseLong(range[range.length - 1]);
         for (int i = 0; i < Integer.getInteger("side", 1); i++) {
             Thread thread = new Thread(() -> {
--- a/cli/src/test/java/tamarindroute/endings/ScriptedCache.java
+++ b/cli/src/test/java/tamarindroute/endings/ScriptedCache.java
@@ -302,7 +302,8 @@
                 case CLOSE -> end(false);
                 case GARBAGE -> last("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.UTF_8), 19);
                 case ENDLESS -> last(("*4\r\n$16\r\n" + attempt.rid + "\r\n$3\r\nACK\r\n$1\r\n-\r\n$"
-                        + (chance.nextBoolean() ? "99999999999\r\n" : "1" + "0".repeat(3000))).getBytes(StandardCharsets.UTF_8),
+                        + (chance.nextBoolean() ? "99999999999\r\n" : "1" + "0".repeat(3000)))
+                        .getBytes(StandardCharsets.UTF_8),
                         40);
                 case DRIP -> {
                     last(whole, Math.min(half, 60));
--- a/cli/src/test/java/tamarindroute/endings/ScriptedClient.java
+++ b/cli/src/test/java/tamarindroute/endings/ScriptedClient.java
@@ -125,7 +125,8 @@
             open.values().forEach(o -> world.journal.add(ENDED, o.rid, label, "how", how));
         }
 
-        String call(Lane lane, String object, int piece, int budget, String ver, byte[] body, String rid) throws IOException {
+        String call(Lane lane, String object, int piece, int budget, String ver, byte[] body, String rid)
+                throws IOException {
             String number = String.valueOf(++tag);
             byte[] frame = ToyServer.frame("RPC.CALL", number, lane.name(), "rid=" + rid + ",budget=" + budget
                     + (lane.keyed ? ",token=" + rid + rid : "") + ",obj=" + object + ",piece=" + piece + ",lot="
@@ -221,7 +222,8 @@
         Line line = new Line(number, fault == Fault.SLOW_READER);
         int rounds = chance.nextInt(1, 4);
         for (int round = 0; round < rounds && !line.ended && !ending; round++) {
-            int count = fault == Fault.FLOOD || fault == Fault.BURST_CANCEL ? chance.nextInt(8, 32) : chance.nextInt(1, 4);
+            boolean many = fault == Fault.FLOOD || fault == Fault.BURST_CANCEL;
+            int count = many ? chance.nextInt(8, 32) : chance.nextInt(1, 4);
             if (fault == Fault.SLOW_READER) {
                 line.readsFrom = System.nanoTime() + chance.nextInt(100, 700) * Journal.MS;
             }
--- a/cli/src/test/java/tamarindroute/endings/ScriptedFeed.java
+++ b/cli/src/test/java/tamarindroute/endings/ScriptedFeed.java
@@ -124,7 +124,8 @@
                     mood = Mood.WELL;
                 }
                 int n = news.isEmpty() ? last : news.get(news.size() - 1).number;
-                String body = "{\"n\":" + n + ",\"events\":[" + String.join(",", told.stream().map(Numbered::text).toList())
+                String body = "{\"n\":" + n + ",\"events\":[" + String.join(",",
+                        told.stream().map(Numbered::text).toList())
                         + "]}";
                 byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
