--- a/decision/src/main/java/tamarindroute/decision/Outcome.java
+++ b/decision/src/main/java/tamarindroute/decision/Outcome.java
@@ -14,6 +14,8 @@
         BROKEN(false),
         RECALLED(false),
         NOT_SENT(true),
+        /** It came to the cache, which did not run it: its time was over. */
+        EXPIRED(true),
         MISSED(true);
 
         /** Whether it proves that the view did not run. */
--- a/net/src/main/java/tamarindroute/net/Connection.java
+++ b/net/src/main/java/tamarindroute/net/Connection.java
@@ -5,7 +5,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.IoFutureListener;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import tamarindroute.log.Log;
 
@@ -51,7 +54,8 @@
     private boolean over;
     private Ending ending;
     private volatile long written;
-    private volatile long left;
+    /** Counted by whoever finds a write done: MINA's thread, or the owner's where that was sooner than its listener. */
+    private final AtomicLong left = new AtomicLong();
     /** What comes is of no use to anyone; MINA's thread throws it away. */
     private volatile boolean discarding;
     /** This side has ended it, and waits for the other side's end. */
@@ -93,9 +97,16 @@
             buffer.free();
             return;
         }
-        written += buffer.remaining();
-        // Also where it never leaves: what is queued when a connection ends is told to the future alone.
-        session.write(buffer).addListener(done -> buffer.free());
+        int length = buffer.remaining();
+        written += length;
+        // Also where it never leaves: what is queued when a connection ends is told to the future alone. Counted before
+        // it is freed, for from then on it is another's, with a limit of its own.
+        session.write(buffer).addListener((IoFutureListener<WriteFuture>) done -> {
+            if (done.isWritten()) {
+                left.addAndGet(length);
+            }
+            buffer.free();
+        });
     }
 
     /** The other side's address, once the connection is up; null where it has gone already. */
@@ -115,12 +126,12 @@
 
     /** Whether all bytes up to this end were given to the machine. */
     public boolean hasLeft(long end) {
-        return left >= end;
+        return left.get() >= end;
     }
 
     /** The bytes written that have not left. */
     public long waiting() {
-        return written - left;
+        return written - left.get();
     }
 
     /** Whether bytes have come that the peer has not been given. */
@@ -198,7 +209,7 @@
 
     /** On MINA's thread: whether this side's end is due, once: all that was written has left. */
     boolean shutsOutput() {
-        if (!lingering || inputOver || outputShut || left < written) {
+        if (!lingering || inputOver || outputShut || left.get() < written) {
             return false;
         }
         outputShut = true;
@@ -230,7 +241,7 @@
         }
         if (lingering) {
             thrown += bytes;
-            if (thrown > MOST_THROWN && left >= written) {
+            if (thrown > MOST_THROWN && left.get() >= written) {
                 cut();
             }
         }
@@ -264,10 +275,9 @@
         return sockets.pool().hasRoom() ? MOST_READS : 1;
     }
 
-    /** On MINA's thread: so many bytes have left; true where these were the last and this side's end is due. */
-    boolean leaving(int bytes) {
-        left += bytes;
-        return lingering && left >= written;
+    /** On MINA's thread, after a write: whether it was the last and this side's end is due. */
+    boolean endDue() {
+        return lingering && left.get() >= written;
     }
 
     void received(IoBuffer buffer, Duration at) {
--- a/net/src/main/java/tamarindroute/net/Sockets.java
+++ b/net/src/main/java/tamarindroute/net/Sockets.java
@@ -371,7 +371,7 @@
 
     @Override
     public void messageSent(IoSession session, Object message) {
-        if (of(session).leaving(((IoBuffer) message).limit())) {
+        if (of(session).endDue()) {
             // Looked at once more where the channel is known.
             ((NioSession) session).getProcessor().updateTrafficControl((NioSession) session);
         }
--- a/policy/src/main/java/tamarindroute/policy/Caches.java
+++ b/policy/src/main/java/tamarindroute/policy/Caches.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.*;
 import java.util.function.Predicate;
-import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 import tamarindroute.decision.*;
 
@@ -107,8 +106,7 @@
                 : sendingTime(view.profile).value;
     }
 
-    /** The share answered lately: of a class, of its views over the mean sending time, and of those over
-     *  twice that, about the largest tenth. */
+    /** The share answered lately of a class, of its views over the mean sending time, and over twice that. */
     private Fading answered(View view, int size) {
         return answered.computeIfAbsent(view.profile, p ->
                 List.of(new Fading(1e9, 1), new Fading(1e9, 1), new Fading(1e9, 1))).get(size);
@@ -119,12 +117,11 @@
     }
 
     void ended(View view, boolean well, double now) {
-        IntStream.of(0, size(view)).distinct()
-                .forEach(size -> answered(view, size).toward(well ? 1 : 0, 0.03, now));
+        new TreeSet<>(List.of(0, size(view))).forEach(s -> answered(view, s).toward(well ? 1 : 0, 0.03, now));
     }
 
-    /** Whether views of this size are answered so much less often than their class that it is their turn. Two
-     *  thirds of the class's share are agreed on quiet days; 0.7 leaves room for chance. */
+    /** Whether views of this size are answered so seldom that it is their turn: whatever is held off by its
+     *  sending time, the largest always are. Two thirds of the class's share are agreed; 0.7 leaves room. */
     boolean owed(View view) {
         return answered(view, size(view)).value < 0.7 * answered(view, 0).value;
     }
--- a/policy/src/main/java/tamarindroute/policy/Judging.java
+++ b/policy/src/main/java/tamarindroute/policy/Judging.java
@@ -3,7 +3,6 @@
 import static tamarindroute.policy.Caches.seconds;
 
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import tamarindroute.decision.*;
 import tamarindroute.decision.Outcome.Detail;
 import tamarindroute.decision.Outcome.Result;
@@ -25,7 +24,7 @@
             source.waited(now - seconds(trip.sent) - work, now);
         }
         if (now + 1.2 * work > all.agreed(view) || !rules.furtherAllowed(view, now)
-                || !Rules.mayRun(view, now)) {
+                || !Rules.mayRun(view, null, now)) {
             return NOT_YET;
         }
         if (all.settings.secondCopies()) {
@@ -78,12 +77,7 @@
             case MISSED -> source.judge(-1, now);
             case ERRED, BROKEN -> blame(trip, node, source, false, 1, now);
             case TIMED_OUT -> blame(trip, node, source, true, 0.5, now);
-            case UNREACHED, NOT_SENT -> {
-                if (outcome.result() == Result.UNREACHED) {
-                    node.judge(1, now);
-                }
-                Stream.of(node, source).distinct().forEach(n -> n.refund(all.charge(view), trip.sent));
-            }
+            case UNREACHED -> node.judge(1, now);
             case TURNED_AWAY -> {
                 rules.swamped().add(1, now);
                 if (source != node) {
@@ -92,6 +86,10 @@
             }
             default -> { }
         }
+        if (outcome.result() == Result.UNREACHED || outcome.result() == Result.NOT_SENT) {
+            node.refund(all.charge(view), trip.sent);
+            source.refund(source == node ? 0 : all.charge(view), trip.sent);
+        }
     }
 
     /** What an answer tells of copies and waits: a hit moves the marginal and d, a fill moves d or D. */
--- a/policy/src/main/java/tamarindroute/policy/Node.java
+++ b/policy/src/main/java/tamarindroute/policy/Node.java
@@ -79,8 +79,7 @@
      *  than the whole, though all come at once after a pause. Where what may wait is less than the view, it
      *  goes by lot, once a view, at odds of what has flowed in, which is then spent: gateways that each saved
      *  up a view came together, and a cache of very many starved until then. Odds add up and each whole one
-     *  wins: draws apart from each other swing further. Spent at the cache's start as at this gateway's own,
-     *  which forgot what it sent. */
+     *  wins: draws apart swing further. Spent at the cache's start as at this gateway's own, which forgot. */
     boolean bears(double work, double now) {
         if (!cold(now)) {
             return true;
--- a/policy/src/main/java/tamarindroute/policy/Placing.java
+++ b/policy/src/main/java/tamarindroute/policy/Placing.java
@@ -13,7 +13,7 @@
     /** The next trip of a view, or its final answer. */
     Answer next(View view, double now) {
         Trip trip = !rules.furtherAllowed(view, now) || view.trips.size() >= all.settings.mostTrips()
-                || seconds(view.cutOff) - now < 0.002 || !Rules.mayRun(view, now) ? null
+                || seconds(view.cutOff) - now < 0.002 || !Rules.mayRun(view, null, now) ? null
                 : view.profile.kept() ? keptTrip(view, now) : passedTrip(view, now);
         if (trip == null) {
             if (view.trips.stream().noneMatch(t -> t.outcome == null)) {
@@ -29,8 +29,8 @@
         return trip;
     }
 
-    /** Whether a view sent now would be back within this share of its agreed time; a large one whose turn it
-     *  is, before its client is gone: whatever is held off by its sending time, the largest always are. */
+    /** Whether a view sent now would be back within this share of its agreed time, or, if it is its size's
+     *  turn, before its client is gone. */
     private boolean inTime(View view, double wait, double crowding, double share, double now) {
         double arrived = seconds(view.arrived);
         double end = all.owed(view) ? seconds(view.cutOff) : arrived + share * (all.agreed(view) - arrived);
--- a/policy/src/main/java/tamarindroute/policy/Rules.java
+++ b/policy/src/main/java/tamarindroute/policy/Rules.java
@@ -45,18 +45,14 @@
         return tries == 0 || tries <= (overload ? 0 : 2);
     }
 
-    private static Trip firstThatMayHaveRun(View view, Trip but) {
+    private static Trip mayHaveRun(View view, Trip but) {
         return view.trips.stream().filter(t -> t != but
                 && (t.outcome == null || !t.outcome.result().provesNotRun)).findFirst().orElse(null);
     }
 
     /** No effect twice: a numbered view goes out again only in the first half of its window. */
-    static boolean mayRun(View view, double now) {
-        return mayRun(view, null, now);
-    }
-
-    private static boolean mayRun(View view, Trip but, double now) {
-        Trip ran = firstThatMayHaveRun(view, but);
+    static boolean mayRun(View view, Trip but, double now) {
+        Trip ran = mayHaveRun(view, but);
         return ran == null || view.profile.repeat() == Repeat.REISSUABLE
                 || view.profile.repeat() == Repeat.NUMBERED
                 && now - seconds(ran.sent) < 0.5 * seconds(view.profile.window());
@@ -74,7 +70,7 @@
     }
 
     static boolean inGroup(View view, Node node) {
-        Trip ran = firstThatMayHaveRun(view, null);
+        Trip ran = mayHaveRun(view, null);
         return ran == null || view.profile.group() == Profile.Group.ALL
                 || (view.profile.group() == Profile.Group.ZONE ? node.cache.zone == ran.cache.zone
                 : node.cache.cell == ran.cache.cell);
@@ -82,8 +78,7 @@
 
     /** The final answer, at once; the advice is spread so that not all come back together. */
     Answer giveUp(View view) {
-        boolean harmless = view.profile.repeat() == Repeat.REISSUABLE
-                || firstThatMayHaveRun(view, null) == null
+        boolean harmless = mayHaveRun(view, null) == null || view.profile.repeat() == Repeat.REISSUABLE
                 || view.profile.repeat() == Repeat.NUMBERED && view.profile.group() == Profile.Group.ALL;
         Duration most = all.settings.longestComeBack();
         return !harmless ? new Answer.Termination() : new Answer.Dismissal(most == null ? null
--- a/router/src/main/java/tamarindroute/gateway/Book.java
+++ b/router/src/main/java/tamarindroute/gateway/Book.java
@@ -24,7 +24,7 @@
     /** What a cache's word means; any other is an error, after which it may have run. */
     private static final Map<String, Result> WORDS = Map.of(
             "ACK", Result.HONOURED, "NOMOD", Result.HONOURED, "NOENT", Result.MISSED,
-            "AGAIN", Result.TURNED_AWAY, "EIO", Result.ERRED, "STALE", Result.NOT_SENT);
+            "AGAIN", Result.TURNED_AWAY, "EIO", Result.ERRED, "STALE", Result.EXPIRED);
     private static final Map<String, Detail> NOTES = Map.of(
             "hit", Detail.HIT, "filled", Detail.FILLED, "via_origin", Detail.FROM_ORIGIN, "joined", Detail.JOINED,
             "stale", Detail.OLD, "src_refused", Detail.SOURCE_REFUSED, "src_broke", Detail.SOURCE_FAILED,
