A crowd at the door takes no more descriptors than its bound, however far ahead MINA's acceptor is

Cause: sessions past the bound were closed in sessionOpened, on MINA's selecting thread; the acceptor has a thread of its own and accepted on meanwhile. Seen: 128 of 128 descriptors open in ScarceDescriptorsIT with 128 told and 256 idle clients coming (114 is what the shares add up to). Now the acceptor itself closes what is past the bound, counting what is on its way; the check in sessionOpened is folded into it. A connection on its way when the door is shut holds the end, too, until it is seen.

--- a/net/src/main/java/tamarindroute/net/Sockets.java
+++ b/net/src/main/java/tamarindroute/net/Sockets.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Comparator;
@@ -61,13 +62,15 @@
     private final Timers timers;
     private final Pool pool;
     private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(Selecting.class, 1);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
+    private final NioSocketAcceptor acceptor = new Door(processor);
     private final NioSocketConnector connector = new NioSocketConnector(processor);
     /** Read on MINA's thread as well. */
     private volatile int mostAccepted;
     private final int mostByDescriptors;
     private final int mostConnected;
     private final AtomicInteger accepted = new AtomicInteger();
+    /** Accepted from the machine, but not seen by MINA's selecting thread yet. */
+    private final AtomicInteger arriving = new AtomicInteger();
     private final Set<Connection> clients = new LinkedHashSet<>();
     private final Set<Connection> connected = new HashSet<>();
     /** Those that MINA still brings up, and of them those given up here: a socket each until MINA is done with it. */
@@ -135,7 +138,7 @@
     }
 
     private void noClients() {
-        if (doorShut && accepted.get() == 0) {
+        if (doorShut && accepted.get() + arriving.get() == 0) {
             Runnable task = whenNoClients;
             whenNoClients = () -> { };
             task.run();
@@ -273,6 +276,34 @@
         return failure instanceof IOException ? Ending.RESET : Ending.UNREACHABLE;
     }
 
+    /**
+     * MINA's acceptor, which has a thread of its own: in a crowd it is far ahead of the one that closes those too many, and
+     * would take all descriptors that there are. What is past the bound is closed before it is anybody's.
+     */
+    private final class Door extends NioSocketAcceptor {
+
+        Door(IoProcessor<NioSession> processor) {
+            super(processor);
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> to, ServerSocketChannel at) throws Exception {
+            if (accepted.get() + arriving.get() > mostAccepted + CROWD) {
+                SocketChannel tooMany = at.accept();
+                if (tooMany != null) {
+                    Log.line("door-crowd", accepted.get() + " client connections");
+                    tooMany.close();
+                }
+                return null;
+            }
+            NioSession session = super.accept(to, at);
+            if (session != null) {
+                arriving.incrementAndGet();
+            }
+            return session;
+        }
+    }
+
     /**
      * MINA's processor, with one thing done on its own thread alone: what a connection waits for is read and set in
      * two steps, and MINA lets whoever suspends reads do so on any thread. Where its own thread does the same for
@@ -339,6 +370,7 @@
         if (session.getService() == acceptor) {
             session.setAttribute(CONNECTION, new Connection(this, true));
             accepted.incrementAndGet();
+            arriving.decrementAndGet();
         }
     }
 
@@ -347,10 +379,6 @@
         Connection connection = of(session);
         if (session.getService() != acceptor) {
             timers.handOver(() -> connection.up(session));
-        } else if (accepted.get() > mostAccepted + CROWD) {
-            // Without a peer nothing is handed over; the client sees a close with no answer owed.
-            Log.line("door-crowd", accepted.get() + " client connections");
-            session.closeNow();
         } else {
             timers.handOver(() -> letIn(connection, session));
         }
