--- a/net/src/test/java/tamarindroute/net/ConnectTest.java
+++ b/net/src/test/java/tamarindroute/net/ConnectTest.java
@@ -15,8 +15,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -27,36 +25,14 @@
 /** Connecting through MINA, which keeps threads and one allocator for the whole process. */
 class ConnectTest {
 
-    /** Handed-over tasks and timers on one thread. */
-    private static final class Owner implements Timers {
-
-        private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
-
-        @Override
-        public Duration now() {
-            return Duration.ofNanos(System.nanoTime());
-        }
-
-        @Override
-        public void handOver(Runnable task) {
-            thread.execute(task);
-        }
-
-        @Override
-        public Runnable after(Duration span, Runnable task) {
-            var timer = thread.schedule(task, span.toNanos(), TimeUnit.NANOSECONDS);
-            return () -> timer.cancel(false);
-        }
-    }
-
-    private final Owner owner = new Owner();
+    private final OneThread owner = new OneThread();
     private final Pool pool = new Pool(64L * 1024 * 1024);
     private final Sockets sockets = new Sockets(owner, pool, 1024);
 
     @AfterEach
     void end() {
         sockets.shutDown();
-        owner.thread.shutdownNow();
+        owner.end();
     }
 
     /** Counts what comes up; a connection given up while it was coming up must not cost a later one. */
--- a/net/src/test/java/tamarindroute/net/LeftTest.java
+++ b/net/src/test/java/tamarindroute/net/LeftTest.java
@@ -12,8 +12,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.junit.jupiter.api.AfterEach;
@@ -28,31 +26,14 @@
     private static final long MEMORY = 4L * 8 * Pool.SIZE;
     private static final int HELD = 5;
 
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
-    private final Timers owner = new Timers() {
-        @Override
-        public Duration now() {
-            return Duration.ofNanos(System.nanoTime());
-        }
-
-        @Override
-        public void handOver(Runnable task) {
-            thread.execute(task);
-        }
-
-        @Override
-        public Runnable after(Duration span, Runnable task) {
-            var timer = thread.schedule(task, span.toNanos(), TimeUnit.NANOSECONDS);
-            return () -> timer.cancel(false);
-        }
-    };
+    private final OneThread owner = new OneThread();
     private final Pool pool = new Pool(MEMORY);
     private final Sockets sockets = new Sockets(owner, pool, 256);
 
     @AfterEach
     void end() {
         sockets.shutDown();
-        thread.shutdownNow();
+        owner.end();
     }
 
     /**
--- a/net/src/test/java/tamarindroute/net/LingerTest.java
+++ b/net/src/test/java/tamarindroute/net/LingerTest.java
@@ -10,12 +10,9 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.apache.mina.transport.socket.SocketSessionConfig;
@@ -31,24 +28,7 @@
     /** More than both machines' buffers hold. */
     private static final int LARGE = 12 * 1024 * 1024;
 
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
-    private final Timers owner = new Timers() {
-        @Override
-        public Duration now() {
-            return Duration.ofNanos(System.nanoTime());
-        }
-
-        @Override
-        public void handOver(Runnable task) {
-            thread.execute(task);
-        }
-
-        @Override
-        public Runnable after(Duration span, Runnable task) {
-            var timer = thread.schedule(task, span.toNanos(), TimeUnit.NANOSECONDS);
-            return () -> timer.cancel(false);
-        }
-    };
+    private final OneThread owner = new OneThread();
     private final Sockets sockets = new Sockets(owner, new Pool(64L * 1024 * 1024), 1024);
     private InetSocketAddress address;
     private volatile BiConsumer<Connection, ByteBuffer> work;
@@ -73,7 +53,7 @@
     @AfterEach
     void end() {
         sockets.shutDown();
-        thread.shutdownNow();
+        owner.end();
     }
 
     private Socket client() throws IOException {
@@ -156,10 +136,10 @@
             clients.add(client());
             clients.get(i).getOutputStream().write(1);
         }
-        while (thread.submit(closed::size).get() < 40) {
+        while (owner.thread.submit(closed::size).get() < 40) {
             Thread.onSpinWait();
         }
-        long lingering = thread.submit(() -> {
+        long lingering = owner.thread.submit(() -> {
             closed.forEach(connection -> connection.close(Ending.LET_GO, true));
             return closed.stream().filter(connection -> !connection.session().isClosing()).count();
         }).get();
