Listening at port 0 is at any free port again; a feed there is refused

Cause: the check of addresses refused port 0 for listen as well, which members on one machine use (Config.address). Seen in the whole verify: all four methods of AgreedIT failed with 'listen is 127.0.0.1:0: no address NUMBER:PORT'.

--- a/router/src/main/java/tamarindroute/host/Config.java
+++ b/router/src/main/java/tamarindroute/host/Config.java
@@ -49,7 +49,7 @@
             SettingsReader settings = new SettingsReader(values);
             // What is odd in the list of the start is told where that is read, and ends nothing: the feed has it too.
             String known = root.has("known") && !root.get("known").isJsonNull() ? root.get("known").toString() : "";
-            Config config = new Config(address(root, "listen"), address(root, "feed"),
+            Config config = new Config(address(root, "listen", 0), address(root, "feed", 1),
                     seed(plain(needed(root, "seed"), "seed")), limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1024 * 1024,
                     (int) limit(limits, "sockets", LEAST_DESCRIPTORS), known, settings);
             checked(settings).forEach(odd -> Log.line("config-odd", odd));
@@ -93,10 +93,11 @@
         return SettingsReader.told(value.toString());
     }
 
-    private static InetSocketAddress address(JsonObject of, String name) {
+    /** Listening at port 0 is at any free one; nobody can be called there. */
+    private static InetSocketAddress address(JsonObject of, String name, int leastPort) {
         String text = plain(needed(of, name), name);
         try {
-            return address(text);
+            return address(text, leastPort);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(name + " is " + SettingsReader.told(text) + ": no address NUMBER:PORT");
         }
@@ -135,9 +136,13 @@
 
     /** HOST:PORT, the host a number, for there are no names to be looked up. */
     public static InetSocketAddress address(String text) {
+        return address(text, 1);
+    }
+
+    private static InetSocketAddress address(String text, int leastPort) {
         int colon = text.lastIndexOf(':');
-        int port = colon <= 0 ? 0 : Integer.parseInt(text.substring(colon + 1));
-        if (port < 1) {
+        int port = colon <= 0 ? -1 : Integer.parseInt(text.substring(colon + 1));
+        if (port < leastPort) {
             throw new IllegalArgumentException("no address: " + SettingsReader.told(text));
         }
         return new InetSocketAddress(host(text.substring(0, colon)), port);
