Whether an attempt was written stands in one place; the judge of ends goes by its writing

TripOut.ifBegun in place of Book.ended and its twin in Send.recall; Held.unwanted was dead once what is not written ends at once.

A cache that accepts late reads an attempt and its QUIT together, long after they were written, and the judge took the reading for the beginning (ASKED and QUIT both at 3307.3 ms, its ttl of 528 of 687 ms says 1374). It goes by the ttl now, which the gateway fills in at the writing.

--- a/cli/src/test/java/tamarindroute/endings/GoneClients.java
+++ b/cli/src/test/java/tamarindroute/endings/GoneClients.java
@@ -18,9 +18,9 @@
             Event end = Stream.concat(Stream.of(story.cancelled, story.left), story.answers.stream())
                     .filter(e -> e != null).min(java.util.Comparator.comparingLong(Event::at)).orElse(null);
             for (Story.Attempt attempt : story.attempts) {
-                if (end != null && attempt.asked.from() > end.at() + SLACK + allowance) {
+                if (end != null && story.begun(attempt) > end.at() + SLACK + allowance) {
                     breaches.add(breach(story.rid, "an attempt began %.0f ms after %s %s",
-                            (attempt.asked.from() - end.at()) / 1e6, end.kind(), end.field("how")));
+                            (story.begun(attempt) - end.at()) / 1e6, end.kind(), end.field("how")));
                 }
             }
         }
--- a/cli/src/test/java/tamarindroute/endings/Purges.java
+++ b/cli/src/test/java/tamarindroute/endings/Purges.java
@@ -28,7 +28,7 @@
             long from = Drains.told(journal, made) + GRACE + SLACK + journal.allowance();
             for (Story story : stories) {
                 if (story.lane() == Lane.clip && isFor(made, story.sent.field("obj"))) {
-                    story.attempts.stream().filter(a -> a.asked.from() > from && a.asked.at() < made.at() + BINDS)
+                    story.attempts.stream().filter(a -> story.begun(a) > from && a.asked.at() < made.at() + BINDS)
                             .forEach(a -> check(journal, made, story, a, breaches));
                 }
             }
--- a/cli/src/test/java/tamarindroute/endings/Story.java
+++ b/cli/src/test/java/tamarindroute/endings/Story.java
@@ -86,4 +86,11 @@
         return journal.byRequest().entrySet().stream().map(e -> new Story(e.getKey(), e.getValue(), ends))
                 .filter(story -> story.sent != null).toList();
     }
+
+    /** When an attempt was written: what a cache that does not accept reads late tells how long its client still waited. */
+    long begun(Attempt attempt) {
+        long read = attempt.asked.from();
+        return sent == null || attempt.asked.field("ttl").isEmpty() || sent.field("budget").isEmpty() ? read
+                : Math.min(read, sent.at() + (long) ((sent.number("budget") - attempt.asked.number("ttl")) * 1e6));
+    }
 }
--- a/router/src/main/java/tamarindroute/gateway/Book.java
+++ b/router/src/main/java/tamarindroute/gateway/Book.java
@@ -138,7 +138,7 @@
         for (Send.TripOut out : List.copyOf(held.out)) {
             out.quit();
             out.passage.drop();
-            end(out, ended(out, Result.TIMED_OUT), Detail.UNTOLD, null, held.over);
+            end(out, out.ifBegun(Result.TIMED_OUT), Detail.UNTOLD, null, held.over);
         }
         if (!held.over) {
             Log.line("defect", "no final answer at the cut-off");
@@ -146,15 +146,9 @@
         }
     }
 
-    /** What never got a connection to be written to cannot have run, whatever ends it. */
-    private static Result ended(Send.TripOut out, Result ifBegun) {
-        return out.begun ? ifBegun : Result.NOT_SENT;
-    }
-
     /** The client seems to have gone: a trip that waits for its connection ends now, and none more is begun. */
     void unwanted(Held held) {
         held.noMore = true;
-        held.unwanted = true;
         for (Send.TripOut out : List.copyOf(held.out)) {
             if (!out.begun) {
                 out.quit();
@@ -167,7 +161,7 @@
         over(held);
         for (Send.TripOut out : List.copyOf(held.out)) {
             out.quit();
-            broken(out, ended(out, Result.RECALLED));
+            broken(out, out.ifBegun(Result.RECALLED));
         }
         if (held.out.isEmpty()) {
             held.release();
--- a/router/src/main/java/tamarindroute/gateway/Held.java
+++ b/router/src/main/java/tamarindroute/gateway/Held.java
@@ -29,8 +29,6 @@
     boolean over;
     /** No further attempt is begun: its time is over, or its client has gone, or the gateway ends. */
     boolean noMore;
-    /** Nor does one go out that waits for its connection. */
-    boolean unwanted;
     /** Attempts that the module named and that were not begun for that. */
     int unsent;
 
--- a/router/src/main/java/tamarindroute/gateway/Send.java
+++ b/router/src/main/java/tamarindroute/gateway/Send.java
@@ -55,6 +55,11 @@
             quit.run();
         }
 
+        /** What never got a connection to be written to cannot have run, whatever ends it. */
+        Result ifBegun(Result result) {
+            return begun ? result : Result.NOT_SENT;
+        }
+
         /** It has come back, and the module knows. */
         void over() {
             roster.out(trip, -1);
@@ -64,7 +69,7 @@
         @Override
         public boolean stillWanted() {
             try {
-                return !held.over && !held.unwanted && decisions.mayStillGo(held.view, trip, clock.now());
+                return !held.over && decisions.mayStillGo(held.view, trip, clock.now());
             } catch (RuntimeException e) {
                 Log.defect(e);
                 return false;
@@ -135,7 +140,7 @@
         for (TripOut out : held.out) {
             if (out.trip == trip) {
                 out.quit();
-                book.broken(out, out.begun ? Result.RECALLED : Result.NOT_SENT);
+                book.broken(out, out.ifBegun(Result.RECALLED));
                 return;
             }
         }
