Review case 3: feed answers that end with the connection hide every purge

Cause: an HTTP answer of the control feed with neither a length nor chunks counts as one without a body, so that no event in it is ever applied.

--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -19,11 +19,14 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Stand-ins for clients, caches and the control feed, and the start of gateways, for all cases. */
 final class Kit {
@@ -245,10 +248,15 @@
   static final class Feed {
     final ServerSocket server;
     final List<String> events = new ArrayList<>();
+
+    /** Whether an answer has no length and ends with its connection. */
     volatile boolean endByClose;
-    volatile long delayMillis;
+
     volatile Record record;
 
+    /** When the first answer that holds a purge was written whole, by the purge's key field. */
+    final Map<String, Long> toldAt = new ConcurrentHashMap<>();
+
     Feed() throws IOException {
       server = new ServerSocket();
       server.setReuseAddress(true);
@@ -310,10 +318,6 @@
           long wait = Long.parseLong(request.replaceAll(".*wait=(\\d+).*", "$1"));
           note("feed asked: " + request);
           String body = after(number, Math.min(5000, wait));
-          if (delayMillis > 0) {
-            Thread.sleep(delayMillis);
-            body = after(number, 0);
-          }
           String head =
               endByClose
                   ? "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
@@ -322,6 +326,7 @@
                       + "\r\n\r\n";
           out.write((head + body).getBytes(StandardCharsets.UTF_8));
           out.flush();
+          noteTold(body);
           note("feed answered: " + (body.length() > 300 ? body.length() + " bytes" : body));
           if (endByClose) {
             socket.shutdownOutput();
@@ -333,6 +338,13 @@
       }
     }
 
+    private void noteTold(String body) {
+      Matcher keys = Pattern.compile("\"key\":\"[0-9a-f]+\"").matcher(body);
+      while (keys.find()) {
+        toldAt.putIfAbsent(keys.group(), System.currentTimeMillis());
+      }
+    }
+
     private void note(String text) {
       Record current = record;
       if (current != null) {
@@ -503,9 +515,7 @@
           if (answer.word().equals("GREEN")) {
             return true;
           }
-        } catch (IOException
-            | TimeoutException
-            | java.util.concurrent.ExecutionException e) {
+        } catch (IOException | TimeoutException | ExecutionException e) {
           // Not listening yet.
         }
         Thread.sleep(50);
