Review case 3: usual clients that pipeline large objects are disconnected

Cause: when the buffer pool has no room, the gateway closes the client with the most unsent bytes if these are over 480,000, while the protocol lets a connection have 32 answers of 240,000 bytes open; its requests are lost.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-case.sh" "$here" PurgeForms
+exec "$here/../run-case.sh" "$here" Pipeline
--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.File;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -25,8 +26,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /** Stand-ins for clients, caches and the control feed, and the start of gateways, for all cases. */
 final class Kit {
@@ -248,15 +247,8 @@
   static final class Feed {
     final ServerSocket server;
     final List<String> events = new ArrayList<>();
-
-    /** Whether an answer has no length and ends with its connection. */
-    volatile boolean endByClose;
-
     volatile Record record;
 
-    /** When the first answer that holds a purge was written whole, by the purge's key field. */
-    final Map<String, Long> toldAt = new ConcurrentHashMap<>();
-
     Feed() throws IOException {
       server = new ServerSocket();
       server.setReuseAddress(true);
@@ -319,32 +311,18 @@
           note("feed asked: " + request);
           String body = after(number, Math.min(5000, wait));
           String head =
-              endByClose
-                  ? "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
-                  : "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                      + body.getBytes(StandardCharsets.UTF_8).length
-                      + "\r\n\r\n";
+              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                  + body.getBytes(StandardCharsets.UTF_8).length
+                  + "\r\n\r\n";
           out.write((head + body).getBytes(StandardCharsets.UTF_8));
           out.flush();
-          noteTold(body);
           note("feed answered: " + (body.length() > 300 ? body.length() + " bytes" : body));
-          if (endByClose) {
-            socket.shutdownOutput();
-            return;
-          }
         }
       } catch (IOException | InterruptedException e) {
         note("feed connection ended by the gateway");
       }
     }
 
-    private void noteTold(String body) {
-      Matcher keys = Pattern.compile("\"key\":\"[0-9a-f]+\"").matcher(body);
-      while (keys.find()) {
-        toldAt.putIfAbsent(keys.group(), System.currentTimeMillis());
-      }
-    }
-
     private void note(String text) {
       Record current = record;
       if (current != null) {
@@ -394,10 +372,17 @@
     final Socket socket;
     private final OutputStream out;
     private final Map<String, CompletableFuture<Answer>> open = new ConcurrentHashMap<>();
+    private final double bytesPerSecond;
     private long tag;
     volatile boolean ended;
 
     Client(int port) throws IOException {
+      this(port, 0);
+    }
+
+    /** A client that reads so many bytes a second at most; 0 for as many as come. */
+    Client(int port, double bytesPerSecond) throws IOException {
+      this.bytesPerSecond = bytesPerSecond;
       socket = new Socket();
       socket.connect(new InetSocketAddress("127.0.0.1", port), 2000);
       socket.setTcpNoDelay(true);
@@ -411,7 +396,10 @@
 
     private void readAll() {
       try {
-        InputStream in = new BufferedInputStream(socket.getInputStream(), 65536);
+        InputStream received = socket.getInputStream();
+        InputStream in =
+            new BufferedInputStream(
+                bytesPerSecond > 0 ? new PacedInput(received, bytesPerSecond) : received, 65536);
         while (true) {
           List<byte[]> items = readFrame(in);
           CompletableFuture<Answer> waiting = open.remove(text(items.get(0)));
@@ -460,6 +448,25 @@
     }
   }
 
+  /** Reads at a steady pace at most, and never stops reading. */
+  private static final class PacedInput extends FilterInputStream {
+    private final double bytesPerSecond;
+    private long due = System.nanoTime();
+
+    PacedInput(InputStream in, double bytesPerSecond) {
+      super(in);
+      this.bytesPerSecond = bytesPerSecond;
+    }
+
+    @Override
+    public int read(byte[] bytes, int offset, int length) throws IOException {
+      pause((due - System.nanoTime()) / 1_000_000);
+      int count = super.read(bytes, offset, Math.min(length, 32768));
+      due = Math.max(due, System.nanoTime()) + (long) (Math.max(0, count) * 1e9 / bytesPerSecond);
+      return count;
+    }
+  }
+
   // ---- gateways
 
   static int freePort() throws IOException {
@@ -548,7 +555,7 @@
 
   static void pause(long millis) {
     try {
-      Thread.sleep(millis);
+      Thread.sleep(Math.max(0, millis));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
