Bound what all connections take together, so that many clients cannot fill the heap

Cause: each bound was for one connection. MINA's thread read up to four buffers of 16 KB from each connection however far behind the event loop was; every frame, a refusal of 30 bytes too, held 16 KB until it was sent; requests in flight (1.6 KB each, by two class histograms) were bounded by OpenCap alone. And the handlers of the OutOfMemoryError needed memory themselves, so the event loop's thread ended and the process stayed.

Change: ReadAdmission bounds the reads that wait for the event loop, and reads on an exhausted pool only what frees it; ClientReadQueue lets clients be read in turn; BufferPool counts bytes and gives short frames short buffers; requests in flight take a sixth of the heap at most; 64 calls in a row beyond the 32 open ones end a connection once those are answered; Log.defect gives a line up rather than its thread, and a process one of whose threads has died ends (FatalErrorHandler).

Evidence: on the code before, OverloadIT.hundredsOfClients... ends in a read time-out and ReadAdmissionTest.manyClientsAtOnce... finds the pool without capacity after 0.1 s; both are green now.

SentBytesTest asks for a full buffer now: only these are reused, which is what it is about.

--- a/net/src/main/java/tamarindroute/log/Log.java
+++ b/net/src/main/java/tamarindroute/log/Log.java
@@ -94,10 +94,14 @@
 
   /**
    * Writes a line for an exception that is a defect of the program, with the place where it was
-   * thrown.
+   * thrown. In a full heap the line is given up rather than the calling thread.
    */
   public static void defect(Throwable failure) {
-    info("defect", describe(failure, 1));
+    try {
+      info("defect", describe(failure, 1));
+    } catch (OutOfMemoryError e) {
+      // The exception to tell of is most likely the same.
+    }
   }
 
   /** The exception with the first frames of its stack trace, in one line. */
--- a/net/src/main/java/tamarindroute/net/BoundedAcceptor.java
+++ b/net/src/main/java/tamarindroute/net/BoundedAcceptor.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
@@ -27,9 +28,10 @@
 
   private final ClientConnections clients;
 
-  BoundedAcceptor(IoProcessor<NioSession> processor, ClientConnections clients) {
+  BoundedAcceptor(IoProcessor<NioSession> processor, ClientConnections clients, IoHandler handler) {
     super(processor);
     this.clients = clients;
+    setHandler(handler);
     SocketOptions.configure(getSessionConfig());
     getSessionConfig().setReaderIdleTime(CLIENT_IDLE_SECONDS);
     setReuseAddress(true);
--- a/net/src/main/java/tamarindroute/net/BufferPool.java
+++ b/net/src/main/java/tamarindroute/net/BufferPool.java
@@ -4,24 +4,28 @@
 import java.util.Deque;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.mina.core.buffer.AbstractIoBuffer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.buffer.IoBufferAllocator;
 
 /**
- * Non-blocking pool of equally sized buffers, which also serves MINA's reads. Counts the buffers in
- * use, so that whoever would hold bytes for long can ask first whether there is capacity. Freeing a
- * buffer twice has no effect.
+ * Non-blocking pool of buffers, which also serves MINA's reads. Buffers of {@link #BUFFER_BYTES}
+ * are reused; content that is known to be shorter gets a buffer of its own length. Counts the bytes
+ * in use, so that whoever would hold bytes for long can ask first whether there is capacity.
+ * Freeing a buffer twice has no effect.
  */
 public final class BufferPool implements IoBufferAllocator {
 
   /**
-   * The size of a buffer: a mean response fits in a few, and the reads of a hundred connections
-   * weigh little.
+   * The size of a full buffer: a mean response fits in a few, and the reads of a hundred
+   * connections weigh little.
    */
   public static final int BUFFER_BYTES = 16 * 1024;
 
+  /** Counted for each buffer beside its bytes: the objects that hold it until it was sent. */
+  private static final int OVERHEAD_BYTES = 256;
+
   /** Buffers may take this part of the memory limit ... */
   private static final int MEMORY_DIVISOR = 4;
 
@@ -31,8 +35,9 @@
   private final int maxBuffers;
   private final ConcurrentLinkedQueue<ByteBuffer> free = new ConcurrentLinkedQueue<>();
   private final PermitCounter freePermits;
-  private final AtomicInteger buffersInUse = new AtomicInteger();
+  private final AtomicLong bytesInUse = new AtomicLong();
   private volatile Runnable capacityListener = () -> {};
+  private volatile Runnable shortageListener = () -> {};
 
   /**
    * Creates an empty pool.
@@ -46,6 +51,11 @@
     this.freePermits = new PermitCounter(maxBuffers);
   }
 
+  /** The number of full buffers that the pool is made for. */
+  int maxBuffers() {
+    return maxBuffers;
+  }
+
   /**
    * Whether bytes may be held that need not be; a part of the pool is reserved for reads and final
    * responses.
@@ -56,41 +66,101 @@
 
   /** Whether this many more bytes may be held that need not be. */
   public boolean hasCapacityFor(long bytes) {
-    return buffersInUse.get() + (bytes + BUFFER_BYTES - 1) / BUFFER_BYTES < capacityThreshold();
+    return bytesInUse.get() + bytes < capacityThreshold();
+  }
+
+  /** Whether the reserved part is used up, too: only what frees buffers should still take any. */
+  public boolean isExhausted() {
+    return bytesInUse.get() >= (long) maxBuffers * BUFFER_BYTES;
+  }
+
+  /** The number of bytes in use from which on there is no capacity. */
+  private long capacityThreshold() {
+    return maxBuffers * 3 / 4 * (long) BUFFER_BYTES;
   }
 
-  /** The number of buffers in use from which on there is no capacity. */
-  private int capacityThreshold() {
-    return maxBuffers * 3 / 4;
+  /** Sets what is run on the event loop when somebody begins to wait for capacity. */
+  void onShortage(Runnable listener) {
+    shortageListener = listener;
   }
 
-  /** Sets what is run, on any thread, when there is capacity again after there was none. */
-  public void onCapacityAvailable(Runnable listener) {
-    capacityListener = listener;
+  /** Tells that somebody waits for capacity; on the event loop. */
+  public void reportShortage() {
+    shortageListener.run();
   }
 
-  /** Takes a free buffer or allocates one; never fails for lack of capacity. */
+  /** Lets all who wait for capacity try again. */
+  void notifyWaiting() {
+    capacityListener.run();
+  }
+
+  /**
+   * Adds what is run, on any thread, when there is capacity again after there was none, and from
+   * time to time while somebody waits for it.
+   */
+  public synchronized void onCapacityAvailable(Runnable listener) {
+    Runnable earlier = capacityListener;
+    capacityListener =
+        () -> {
+          earlier.run();
+          listener.run();
+        };
+  }
+
+  /** Takes a free full buffer or allocates one; never fails for lack of capacity. */
   IoBuffer acquire() {
     ByteBuffer bytes = free.poll();
     if (bytes != null) {
       freePermits.release();
     }
-    buffersInUse.incrementAndGet();
-    return new PooledBuffer(
-        bytes == null ? ByteBuffer.allocate(BUFFER_BYTES) : bytes.clear(), true);
+    IoBuffer buffer =
+        new PooledBuffer(bytes == null ? ByteBuffer.allocate(BUFFER_BYTES) : bytes.clear(), true);
+    bytesInUse.addAndGet(BUFFER_BYTES + OVERHEAD_BYTES);
+    return buffer;
+  }
+
+  /** A buffer for content of this length, at most a full one. */
+  private IoBuffer acquire(int contentBytes) {
+    if (contentBytes >= BUFFER_BYTES) {
+      return acquire();
+    }
+    IoBuffer buffer = new PooledBuffer(ByteBuffer.allocate(contentBytes), true);
+    bytesInUse.addAndGet(contentBytes + OVERHEAD_BYTES);
+    dropFreeBuffersBeyondLimit();
+    return buffer;
+  }
+
+  /** Free buffers and those in use together stay within the pool's size. */
+  private void dropFreeBuffersBeyondLimit() {
+    while (bytesInUse.get() + (long) freePermits.acquired() * BUFFER_BYTES
+            > (long) maxBuffers * BUFFER_BYTES
+        && free.poll() != null) {
+      freePermits.release();
+    }
   }
 
   /**
-   * Copies bytes into buffers of this pool.
+   * Copies bytes into buffers of this pool, when no more content follows.
    *
    * @param bytes to be consumed completely
    * @param target that buffers are appended to; its last buffer is filled up first
    */
   public void copy(ByteBuffer bytes, Deque<IoBuffer> target) {
+    copy(bytes, target, 0);
+  }
+
+  /**
+   * Copies bytes into buffers of this pool.
+   *
+   * @param bytes to be consumed completely
+   * @param target that buffers are appended to; its last buffer is filled up first
+   * @param bytesToFollow the number of bytes that will be copied to the same target later
+   */
+  public void copy(ByteBuffer bytes, Deque<IoBuffer> target, int bytesToFollow) {
     while (bytes.hasRemaining()) {
       IoBuffer last = target.peekLast();
       if (last == null || last.limit() == last.capacity()) {
-        last = acquire();
+        last = acquire(Math.addExact(bytes.remaining(), bytesToFollow));
         last.limit(0);
         target.add(last);
       }
@@ -104,13 +174,14 @@
 
   /** Takes a buffer back; called once for each acquired one. */
   private void release(ByteBuffer bytes) {
+    int length = bytes.capacity() + OVERHEAD_BYTES;
     // Counted in one step: with a separate read of the count, another thread could fill the pool in
     // between, and the listener would not be called.
-    int remainingInUse = buffersInUse.decrementAndGet();
+    long remainingInUse = bytesInUse.addAndGet(-length);
     if (bytes.capacity() == BUFFER_BYTES && freePermits.tryAcquire()) {
       free.add(bytes);
     }
-    if (remainingInUse == capacityThreshold() - 1) {
+    if (remainingInUse < capacityThreshold() && remainingInUse + length >= capacityThreshold()) {
       capacityListener.run();
     }
   }
--- a/net/src/main/java/tamarindroute/net/CacheConnection.java
+++ b/net/src/main/java/tamarindroute/net/CacheConnection.java
@@ -124,9 +124,11 @@
     ArrayDeque<IoBuffer> frame = new ArrayDeque<>();
     ByteBuffer header =
         CacheProtocol.encodeRequestHeader(id, request.fields().get(), request.bodyLength());
-    transport.bufferPool().copy(header, frame);
+    int bytesToFollow = request.bodyLength() + RespWriter.FRAME_TRAILER_BYTES;
+    transport.bufferPool().copy(header, frame, bytesToFollow);
     for (IoBuffer part : request.body()) {
-      transport.bufferPool().copy(part.buf().duplicate(), frame);
+      bytesToFollow -= part.remaining();
+      transport.bufferPool().copy(part.buf().duplicate(), frame, bytesToFollow);
     }
     transport.bufferPool().copy(RespWriter.frameTrailer(), frame);
     return frame;
--- a/net/src/main/java/tamarindroute/net/CacheResponseReader.java
+++ b/net/src/main/java/tamarindroute/net/CacheResponseReader.java
@@ -210,6 +210,7 @@
     }
     Duration remaining = remainingTime();
     if (connection.paused()
+        || connection.inbound().isReadSuspended()
         || connection.hasUnconsumedBytes()
         || remaining.compareTo(Duration.ZERO) > 0) {
       Duration delay = remaining.compareTo(RECHECK_INTERVAL) > 0 ? remaining : RECHECK_INTERVAL;
--- a/net/src/main/java/tamarindroute/net/ClientConnections.java
+++ b/net/src/main/java/tamarindroute/net/ClientConnections.java
@@ -1,5 +1,6 @@
 package tamarindroute.net;
 
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -58,6 +59,11 @@
     handlerFactory = factory;
   }
 
+  /** The connections of the admitted clients. */
+  Collection<Connection> all() {
+    return clients;
+  }
+
   /** On MINA's accepting thread: whether one more connection may be accepted. */
   boolean mayAccept() {
     return sessionCount() + pendingAccepts.get() <= maxClients + ACCEPT_OVERSHOOT;
--- a/net/src/main/java/tamarindroute/net/Connection.java
+++ b/net/src/main/java/tamarindroute/net/Connection.java
@@ -103,6 +103,18 @@
     return outbound.isSent(endOffset);
   }
 
+  OutboundBytes outbound() {
+    return outbound;
+  }
+
+  InboundQueue inbound() {
+    return inbound;
+  }
+
+  InputDiscarder inputDiscarder() {
+    return inputDiscarder;
+  }
+
   /** The number of bytes written but not passed to the operating system yet. */
   public long unsentBytes() {
     return outbound.unsent();
@@ -113,6 +125,16 @@
     return inbound.hasUnconsumedReads();
   }
 
+  /** Tells whether room is reserved for what comes next: it is read even if the pool is full. */
+  public void setRoomReserved(boolean reserved) {
+    inbound.setRoomReserved(reserved);
+  }
+
+  /** Whether a client opened the connection. */
+  boolean isFromClient() {
+    return fromClient;
+  }
+
   /** Whether the handler is given no bytes for now. */
   public boolean paused() {
     return inbound.paused();
@@ -201,16 +223,6 @@
     return remoteSide;
   }
 
-  /** Whether a lingering close is under way; on any thread. */
-  boolean isLingering() {
-    return inputDiscarder.isLingering();
-  }
-
-  /** On MINA's thread: whether the output is to be shut down now; true only once. */
-  boolean claimOutputShutdown() {
-    return inputDiscarder.claimOutputShutdown();
-  }
-
   /**
    * On MINA's thread, after a write: whether this was the last write before the output is shut
    * down.
@@ -228,16 +240,6 @@
     return inputDiscarder.isLingering();
   }
 
-  /** On MINA's thread: whether bytes just received are to be discarded. */
-  boolean discardsInput(int length) {
-    return inputDiscarder.discards(length);
-  }
-
-  /** On MINA's thread, before received bytes are handed over to the event loop. */
-  void throttleReads(IoSession source) {
-    inbound.beforeHandOver(source);
-  }
-
   /** The connection is established, unless it was closed meanwhile. */
   void onSessionOpened(IoSession opened) {
     if (finished) {
@@ -260,9 +262,9 @@
   void deliver(ByteBuffer bytes) {
     try {
       handler.onReceived(bytes);
-    } catch (RuntimeException e) {
-      Log.defect(e);
+    } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
       close(CloseReason.PROTOCOL_ERROR, false);
+      Log.defect(e);
     }
   }
 
--- a/net/src/main/java/tamarindroute/net/InboundQueue.java
+++ b/net/src/main/java/tamarindroute/net/InboundQueue.java
@@ -32,6 +32,11 @@
   private volatile boolean paused;
   private boolean consuming;
 
+  /** Written on the event loop, and read on MINA's thread. */
+  private volatile boolean roomReserved;
+
+  private final ReadTurn readTurn = new ReadTurn();
+
   InboundQueue(Connection connection, BufferPool bufferPool) {
     this.connection = connection;
     this.bufferPool = bufferPool;
@@ -64,6 +69,33 @@
     }
   }
 
+  /** Whether nothing is read for now, for whatever reason. */
+  boolean isReadSuspended() {
+    IoSession session = connection.session();
+    return session != null && session.isReadSuspended();
+  }
+
+  /** Notes whether room is reserved in the buffer pool for what comes next. */
+  void setRoomReserved(boolean reserved) {
+    roomReserved = reserved;
+    if (reserved) {
+      resumeReading();
+    }
+  }
+
+  /** The connection's turn among those that wait to be read. */
+  ReadTurn readTurn() {
+    return readTurn;
+  }
+
+  /**
+   * On any thread: whether bytes may be read though the buffer pool is exhausted. Those of a client
+   * that has taken all that it was sent take no room for long.
+   */
+  boolean mayReadWhenExhausted() {
+    return roomReserved || (connection.isFromClient() && connection.unsentBytes() == 0);
+  }
+
   /**
    * Counts a read and suspends reading if there are too many, on MINA's thread: an event loop that
    * lags behind would be too late to stop a flood. The event loop counts down and then checks
@@ -73,7 +105,8 @@
   void beforeHandOver(IoSession session) {
     if (unconsumedCount.incrementAndGet() >= maxUnconsumed()) {
       session.suspendRead();
-      if ((unconsumedCount.get() < maxUnconsumed() && !paused) || connection.isLingering()) {
+      if ((unconsumedCount.get() < maxUnconsumed() && !paused)
+          || connection.inputDiscarder().isLingering()) {
         session.resumeRead();
       }
     }
@@ -97,10 +130,13 @@
       return;
     }
     consuming = true;
-    while (!unconsumed.isEmpty() && !paused) {
-      consumeFirst();
+    try {
+      while (!unconsumed.isEmpty() && !paused) {
+        consumeFirst();
+      }
+    } finally {
+      consuming = false;
     }
-    consuming = false;
     resumeReading();
     if (unconsumed.isEmpty()) {
       connection.onAllConsumed();
@@ -119,9 +155,12 @@
     }
   }
 
-  private void resumeReading() {
+  /** Reads again after a suspension, unless too many reads are unconsumed. */
+  void resumeReading() {
     IoSession session = connection.session();
-    if (!paused
+    if (connection.inputDiscarder().isLingering()) {
+      session.resumeRead();
+    } else if (!paused
         && !connection.isFinished()
         && session != null
         && session.isReadSuspended()
--- a/net/src/main/java/tamarindroute/net/InputDiscarder.java
+++ b/net/src/main/java/tamarindroute/net/InputDiscarder.java
@@ -23,6 +23,11 @@
     lingering.start();
   }
 
+  /** Whether all that is received is discarded; on any thread. */
+  boolean isDiscarding() {
+    return discarding;
+  }
+
   /** Whether a lingering close is under way; on any thread. */
   boolean isLingering() {
     return lingeringClose != null;
--- a/net/src/main/java/tamarindroute/net/OutboundBytes.java
+++ b/net/src/main/java/tamarindroute/net/OutboundBytes.java
@@ -45,6 +45,11 @@
     return written;
   }
 
+  /** The number of bytes passed to the operating system so far. */
+  long sent() {
+    return sent.get();
+  }
+
   /** Whether all bytes before this offset were passed to the operating system. */
   boolean isSent(long endOffset) {
     return sent.get() >= endOffset;
--- a/net/src/main/java/tamarindroute/net/PermitCounter.java
+++ b/net/src/main/java/tamarindroute/net/PermitCounter.java
@@ -25,6 +25,11 @@
     return current < maxPermits;
   }
 
+  /** The number of permits in use; on any thread. */
+  int acquired() {
+    return acquired.get();
+  }
+
   /** Returns a permit; on any thread. */
   void release() {
     acquired.decrementAndGet();
--- a/net/src/main/java/tamarindroute/net/SelectorProcessor.java
+++ b/net/src/main/java/tamarindroute/net/SelectorProcessor.java
@@ -11,10 +11,10 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA's selector loop with three corrections: the interest in reads and writes changes on the
- * selector's thread only, the buffer of a read that ends in a reset is freed, and the output of a
- * connection can be shut down alone. Public with a public constructor because MINA creates it by
- * reflection.
+ * MINA's selector loop with four corrections: the interest in reads and writes changes on the
+ * selector's thread only, a connection is read only if the transport admits it, the buffer of a
+ * read that ends in a reset is freed, and the output of a connection can be shut down alone. Public
+ * with a public constructor because MINA creates it by reflection.
  */
 public final class SelectorProcessor extends NioProcessor {
 
@@ -36,6 +36,13 @@
     wakeup();
   }
 
+  @Override
+  protected boolean isReadable(NioSession session) {
+    return super.isReadable(session)
+        && !session.isReadSuspended()
+        && ((SocketTransport) session.getHandler()).admitsRead(session);
+  }
+
   /** Frees the buffer if the read fails, which MINA does only for reads that return no bytes. */
   @Override
   protected int read(NioSession session, IoBuffer buffer) throws Exception {
@@ -52,7 +59,7 @@
     int selected = super.select(timeout);
     for (NioSession next = changedSessions.poll(); next != null; next = changedSessions.poll()) {
       super.updateTrafficControl(next);
-      if (Connection.of(next).claimOutputShutdown()) {
+      if (Connection.of(next).inputDiscarder().claimOutputShutdown()) {
         shutDownOutput(next);
       }
     }
--- a/net/src/main/java/tamarindroute/net/SocketTransport.java
+++ b/net/src/main/java/tamarindroute/net/SocketTransport.java
@@ -36,7 +36,7 @@
    */
   static final int MIN_DESCRIPTORS_PER_SIDE = 8;
 
-  /** After this MINA gives a connect up; whoever wanted the connection has done so long before. */
+  /** When MINA gives a connect up; whoever wanted the connection has done so long before. */
   private static final int CONNECT_TIMEOUT_MILLIS = 3_000;
 
   private static final String CLOSE_REASON_ATTRIBUTE = "why";
@@ -45,6 +45,7 @@
   private final BufferPool bufferPool;
   private final ClientConnections clients;
   private final OutboundConnections outbound;
+  private final ReadAdmission readAdmission;
   private final NioSocketAcceptor acceptor;
   private final NioSocketConnector connector;
 
@@ -61,9 +62,11 @@
     int perSide = Math.max(MIN_DESCRIPTORS_PER_SIDE, (descriptors - RESERVED_DESCRIPTORS) / 2);
     clients = new ClientConnections(perSide);
     outbound = new OutboundConnections(perSide);
+    readAdmission = new ReadAdmission(scheduler, bufferPool);
+    bufferPool.onCapacityAvailable(() -> scheduler.execute(readAdmission::reconsiderDeferred));
+    BufferShortageMonitor.start(scheduler, bufferPool, clients::all);
     IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(SelectorProcessor.class, 1);
-    acceptor = new BoundedAcceptor(processor, clients);
-    acceptor.setHandler(this);
+    acceptor = new BoundedAcceptor(processor, clients, this);
     connector = newConnector(processor);
     IoBuffer.setAllocator(bufferPool);
   }
@@ -128,7 +131,7 @@
     scheduler.execute(task);
   }
 
-  /** Whether a connection can be opened, if need be after an idle one was closed. */
+  /** Whether a connection can be opened, after an idle one was closed if need be. */
   public boolean canConnect() {
     return outbound.canConnect();
   }
@@ -154,6 +157,7 @@
    */
   Connection connectReserved(InetSocketAddress address, ConnectionHandler handler) {
     Connection connection = newConnection(handler);
+    connection.setRoomReserved(true);
     openSession(address, connection);
     return connection;
   }
@@ -182,6 +186,11 @@
     }
   }
 
+  /** On MINA's thread: whether a connection that has bytes to read is read now. */
+  boolean admitsRead(IoSession session) {
+    return readAdmission.admits(Connection.of(session), session);
+  }
+
   /** The connection has ended for its handler. */
   void onConnectionClosed(Connection connection) {
     outbound.onConnectionClosed(connection);
@@ -214,13 +223,11 @@
   public void messageReceived(IoSession session, Object message) {
     Connection connection = Connection.of(session);
     IoBuffer bytes = (IoBuffer) message;
-    if (connection.discardsInput(bytes.remaining())) {
+    if (connection.inputDiscarder().discards(bytes.remaining())) {
       bytes.free();
       return;
     }
-    Duration receivedAt = scheduler.now();
-    connection.throttleReads(session);
-    scheduler.execute(() -> connection.onReceived(bytes, receivedAt));
+    readAdmission.handOver(connection, session, bytes);
   }
 
   @Override
@@ -279,6 +286,7 @@
   }
 
   private void onSessionLost(Connection connection, CloseReason closeReason) {
+    readAdmission.onSessionLost(connection);
     clients.onSessionLost(connection);
     connection.onSessionLost(closeReason);
     clients.checkDrained();
--- a/net/src/main/java/tamarindroute/protocol/RespWriter.java
+++ b/net/src/main/java/tamarindroute/protocol/RespWriter.java
@@ -9,6 +9,9 @@
  */
 public final class RespWriter {
 
+  /** Length of what follows a body. */
+  public static final int FRAME_TRAILER_BYTES = 2;
+
   private static final String LINE_END = "\r\n";
   private static final byte[] LINE_END_BYTES = {'\r', '\n'};
   private static final int NO_BODY = -1;
--- a/net/src/test/java/tamarindroute/net/BufferPoolTest.java
+++ b/net/src/test/java/tamarindroute/net/BufferPoolTest.java
@@ -52,6 +52,25 @@
     assertThat(bufferPool.hasCapacity()).isTrue();
   }
 
+  /**
+   * Guards against a heap that is filled by refusals of some thirty bytes, each in a full buffer.
+   */
+  @Test
+  void shortFramesTakeLittleOfThePool() {
+    BufferPool bufferPool = new BufferPool(32L * BufferPool.BUFFER_BYTES);
+    List<ArrayDeque<IoBuffer>> frames = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      ArrayDeque<IoBuffer> frame = new ArrayDeque<>();
+      bufferPool.copy(ByteBuffer.wrap(new byte[30]), frame);
+      assertThat(frame).hasSize(1);
+      assertThat(frame.getFirst().capacity()).isEqualTo(30);
+      frames.add(frame);
+    }
+    assertThat(bufferPool.hasCapacity()).isTrue();
+    frames.forEach(frame -> frame.forEach(IoBuffer::free));
+    assertThat(bufferPool.hasCapacityFor(5L * BufferPool.BUFFER_BYTES)).isTrue();
+  }
+
   @Test
   void bytesAreCopiedOverSeveralBuffers() {
     byte[] bytes = new byte[2 * BufferPool.BUFFER_BYTES + 5];
--- a/net/src/test/java/tamarindroute/net/SentBytesTest.java
+++ b/net/src/test/java/tamarindroute/net/SentBytesTest.java
@@ -108,7 +108,8 @@
       heldBuffers.add(bufferPool.acquire());
     }
     ArrayDeque<IoBuffer> frame = new ArrayDeque<>();
-    bufferPool.copy(ByteBuffer.wrap(new byte[100]), frame);
+    // As if more followed, so that the bytes get a full buffer, which alone is reused.
+    bufferPool.copy(ByteBuffer.wrap(new byte[100]), frame, BufferPool.BUFFER_BYTES);
     connection.write(frame);
   }
 }
--- a/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
+++ b/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
@@ -32,6 +32,12 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** Requests in flight may take this part of the heap. */
+  private static final int HEAP_DIVISOR = 6;
+
+  /** What a request in flight takes of the heap, without its buffers. */
+  private static final int BYTES_PER_REQUEST = 1_600;
+
   private final EventLoop eventLoop;
   private final Router router;
   private final OutcomeHandler outcomeHandler;
@@ -53,10 +59,14 @@
     this.router = router;
     this.outcomeHandler = outcomeHandler;
     this.requestClasses = settings.requestClassesByName();
-    this.maxInFlight = settings.maxInFlight();
+    this.maxInFlight = (int) Math.min(settings.maxInFlight(), maxInFlightByHeap());
     this.maxBudgetMillis = MAX_BUDGET_MULTIPLE * settings.longestDeadline().toMillis();
   }
 
+  private static long maxInFlightByHeap() {
+    return Runtime.getRuntime().maxMemory() / HEAP_DIVISOR / BYTES_PER_REQUEST;
+  }
+
   /** Whether health checks are answered with ready. Requests are served in either case. */
   boolean isReady() {
     return ready;
--- a/router/src/main/java/tamarindroute/gateway/ClientConnection.java
+++ b/router/src/main/java/tamarindroute/gateway/ClientConnection.java
@@ -41,9 +41,6 @@
   /** A client sends its first request once connected. The grace allows for a busy machine. */
   private static final Duration FIRST_REQUEST_GRACE = Duration.ofMillis(100);
 
-  /** More calls with invalid fields close a connection: they cost time that requests need. */
-  private static final int MAX_INVALID_REQUESTS = 64;
-
   /**
    * A completely received call.
    *
@@ -70,7 +67,7 @@
   private boolean inputFinished;
   private Duration lastUsedAt;
   private boolean hasSentRequest;
-  private int invalidRequests;
+  private final CallViolations violations = new CallViolations();
 
   /** Cancels the timer of the frame being read. Null between frames. */
   private Runnable cancelFrameTimer;
@@ -219,17 +216,8 @@
     ReceivedCall received = new ReceivedCall(call, body, reader.bodyLength(), overCapacity);
     body = new ArrayDeque<>();
     boolean withinLimit = pendingByTag.size() < ClientProtocol.MAX_OPEN_REQUESTS;
-    if (!admission.admit(this, received, withinLimit)) {
-      countInvalidRequest();
-    }
-  }
-
-  private void countInvalidRequest() throws MalformedMessageException {
-    invalidRequests++;
-    if (invalidRequests > MAX_INVALID_REQUESTS) {
-      throw new MalformedMessageException(
-          invalidRequests + " calls with invalid fields, allowed: " + MAX_INVALID_REQUESTS);
-    }
+    boolean valid = admission.admit(this, received, withinLimit);
+    violations.onCall(valid, withinLimit);
   }
 
   private void onCancel(String tag) {
--- a/router/src/main/java/tamarindroute/gateway/GatewayServer.java
+++ b/router/src/main/java/tamarindroute/gateway/GatewayServer.java
@@ -14,6 +14,7 @@
 import tamarindroute.decision.RoutingPolicy;
 import tamarindroute.host.EndpointRegistry;
 import tamarindroute.host.EventLoop;
+import tamarindroute.host.FatalErrorHandler;
 import tamarindroute.host.LifecycleComponent;
 import tamarindroute.host.MonotonicClock;
 import tamarindroute.host.PlatformConfiguration;
@@ -131,6 +132,7 @@
       Function<PolicySettings, RoutingPolicy> policyFactory,
       LifecycleComponent component)
       throws IOException {
+    FatalErrorHandler.install();
     // SIGHUP ends the process until it has a handler, so the handler is installed first.
     AtomicReference<GatewayServer> startedGateway = new AtomicReference<>();
     Signal.handle(new Signal("HUP"), signal -> reloadConfiguration(path, startedGateway));
@@ -158,7 +160,7 @@
               : "; these sections change only after a restart: " + String.join(", ", needsRestart);
       Log.info("configuration-reloaded", "feed " + reloaded.feed() + ignored);
       gateway.eventLoop.execute(() -> gateway.instance.moveFeed(reloaded.feed()));
-    } catch (IOException e) {
+    } catch (IOException | OutOfMemoryError e) {
       Log.info("configuration-invalid", "the previous one stays in use: " + e.getMessage());
     }
   }
--- a/router/src/main/java/tamarindroute/gateway/ResponseRelay.java
+++ b/router/src/main/java/tamarindroute/gateway/ResponseRelay.java
@@ -74,8 +74,8 @@
     private final ArrayDeque<IoBuffer> buffers = new ArrayDeque<>();
     private int remaining;
 
-    /** Whether room for the rest of the response is reserved. */
-    private boolean reserved;
+    /** The connection for the rest of whose response room is reserved; null for none. */
+    private Connection reservedFor;
 
     PendingResponse(PendingRequest pending) {
       this.pending = pending;
@@ -85,7 +85,7 @@
     void begin(CacheResponse head, int bodyLength) {
       ByteBuffer header =
           ClientProtocol.encodeServedHeader(pending.tag, head.copyTag(), bodyLength);
-      bufferPool.copy(header, buffers);
+      bufferPool.copy(header, buffers, bodyLength + RespWriter.FRAME_TRAILER_BYTES);
       remaining = bodyLength;
     }
 
@@ -97,14 +97,15 @@
      */
     void append(ByteBuffer part, Connection source) {
       int count = part.remaining();
-      bufferPool.copy(part, buffers);
       remaining -= count;
-      if (reserved) {
+      bufferPool.copy(part, buffers, remaining + RespWriter.FRAME_TRAILER_BYTES);
+      if (reservedFor != null) {
         reservedBytes -= count;
       } else if (bufferPool.hasCapacityFor(reservedBytes + remaining)
           || (reservedBytes == 0 && unsentBytes() < SLOW_CLIENT_BYTES)) {
-        reserved = true;
+        reservedFor = source;
         reservedBytes += remaining;
+        source.setRoomReserved(true);
       } else {
         applyBackpressure(source);
       }
@@ -131,8 +132,9 @@
     }
 
     private void releaseReservation() {
-      if (reserved) {
-        reserved = false;
+      if (reservedFor != null) {
+        reservedFor.setRoomReserved(false);
+        reservedFor = null;
         reservedBytes -= remaining;
         eventLoop.execute(ResponseRelay.this::onCapacityAvailable);
       }
@@ -157,6 +159,7 @@
         .ifPresent(ResponseRelay::closeSlowClient);
     source.pause();
     pausedConnections.add(source);
+    bufferPool.reportShortage();
   }
 
   private static void closeSlowClient(Connection client) {
