--- a/cli/src/test/java/tamarindroute/gateway/OverloadIT.java
+++ b/cli/src/test/java/tamarindroute/gateway/OverloadIT.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -28,7 +29,14 @@
   private static final int MANY_CLIENTS = 300;
 
   private static final int MAX_OPEN_REQUESTS = 32;
+  private static final int LARGEST_OBJECT_BYTES = 240_000;
   private static final int BUDGET_MILLIS = 2000;
+  private static final int PIPELINING_CLIENTS = 8;
+  private static final int PIPELINE_BUDGET_MILLIS = 5000;
+  private static final int RECEIVE_BUFFER_BYTES = 128 * 1024;
+
+  /** After each of the largest objects: six megabytes a second. */
+  private static final int READ_PAUSE_MILLIS = 40;
 
   /** Up to half a second after its time an answer is late, but the request is not lost. */
   private static final int LOST_AFTER_MILLIS = BUDGET_MILLIS + 550;
@@ -144,6 +152,40 @@
     awaitServed("b");
   }
 
+  /** Guards against the loss of a client's requests because it reads more slowly than is sent. */
+  @Test
+  void clientsThatPipelineTheLargestObjectsAreNotDisconnected() throws Exception {
+    caches.forEach(cache -> cache.bodySize = LARGEST_OBJECT_BYTES);
+    List<CompletableFuture<Integer>> answered = new ArrayList<>();
+    for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+      byte[] requests = calls(MAX_OPEN_REQUESTS, PIPELINE_BUDGET_MILLIS);
+      answered.add(CompletableFuture.supplyAsync(() -> countAnswers(requests), threads));
+    }
+    for (CompletableFuture<Integer> count : answered) {
+      assertThat(count.get(20, TimeUnit.SECONDS)).isEqualTo(MAX_OPEN_REQUESTS);
+    }
+    awaitServed("c");
+  }
+
+  /** Sends the requests at once; returns how many answers came while reading steadily. */
+  private int countAnswers(byte[] requests) {
+    int count = 0;
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+      socket.connect(address);
+      socket.setSoTimeout(PIPELINE_BUDGET_MILLIS + 550);
+      socket.getOutputStream().write(requests);
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      for (; count < MAX_OPEN_REQUESTS; count++) {
+        ToyServer.readFrame(in);
+        TimeUnit.MILLISECONDS.sleep(READ_PAUSE_MILLIS);
+      }
+    } catch (IOException | InterruptedException e) {
+      // What has not come by now is lost.
+    }
+    return count;
+  }
+
   /** Guards against a heap that is filled by as many open requests as the protocol allows. */
   @Test
   void eachOfTheMostOpenRequestsIsAnsweredWhileAllCachesAreSilent() throws Exception {
--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -164,7 +164,7 @@
    *
    * @throws EOFException if the connection ends before the frame is complete
    */
-  static List<byte[]> readFrame(InputStream in) throws IOException {
+  public static List<byte[]> readFrame(InputStream in) throws IOException {
     List<byte[]> items = new ArrayList<>();
     int count = Integer.parseInt(readLine(in).substring(1));
     for (int i = 0; i < count; i++) {
--- a/router/src/main/java/tamarindroute/gateway/ResponseRelay.java
+++ b/router/src/main/java/tamarindroute/gateway/ResponseRelay.java
@@ -3,15 +3,12 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.host.EventLoop;
-import tamarindroute.log.Log;
 import tamarindroute.net.BufferPool;
-import tamarindroute.net.CloseReason;
 import tamarindroute.net.Connection;
 import tamarindroute.protocol.CacheResponse;
 import tamarindroute.protocol.CacheStatus;
@@ -23,13 +20,15 @@
  *
  * <p>A response is collected in the buffer pool until it is complete. If its connection breaks
  * before that, the client has received nothing and the request can be retried at another cache. If
- * the pool runs out of buffers, connections to caches are paused and the slowest client may be
- * closed.
+ * the pool runs out of buffers, connections to caches are paused.
  */
 final class ResponseRelay {
 
-  /** A client with more unsent bytes counts as slow. This is twice the largest response. */
-  private static final long SLOW_CLIENT_BYTES = 2 * 240_000;
+  /**
+   * With more unsent bytes of all clients, a response without room waits until they were taken.
+   * This is twice the largest response.
+   */
+  private static final long MAX_UNSENT_BYTES_WITHOUT_ROOM = 2 * 240_000;
 
   private final BufferPool bufferPool;
   private final EventLoop eventLoop;
@@ -102,7 +101,7 @@
       if (reservedFor != null) {
         reservedBytes -= count;
       } else if (bufferPool.hasCapacityFor(reservedBytes + remaining)
-          || (reservedBytes == 0 && unsentBytes() < SLOW_CLIENT_BYTES)) {
+          || (reservedBytes == 0 && unsentBytes() < MAX_UNSENT_BYTES_WITHOUT_ROOM)) {
         reservedFor = source;
         reservedBytes += remaining;
         source.setRoomReserved(true);
@@ -150,23 +149,13 @@
     return clientWriters.stream().mapToLong(writer -> writer.connection.unsentBytes()).sum();
   }
 
-  /** Pauses the cache's connection, and closes the client with the most unsent bytes if slow. */
+  /** Pauses the cache's connection until the pool has room for its response. */
   private void applyBackpressure(Connection source) {
-    clientWriters.stream()
-        .map(writer -> writer.connection)
-        .max(Comparator.comparingLong(Connection::unsentBytes))
-        .filter(slowest -> slowest.unsentBytes() > SLOW_CLIENT_BYTES)
-        .ifPresent(ResponseRelay::closeSlowClient);
     source.pause();
     pausedConnections.add(source);
     bufferPool.reportShortage();
   }
 
-  private static void closeSlowClient(Connection client) {
-    Log.info("client-slow", "closing the client, bytes unsent: " + client.unsentBytes());
-    client.close(CloseReason.CLOSED_LOCALLY, false);
-  }
-
   /** Resumes the paused connections, after the pool regained room or a reservation ended. */
   void onCapacityAvailable() {
     List<Connection> resumable = List.copyOf(pausedConnections);
