Send a request that must not be repeated on each connection once

Cause: all attempts of a request have one id. The next attempt went out on the connection that had just answered, and unless that cache had been seen to send copies, the second copy counted as the answer to it: proof that an attempt which ran had never run.

Change: the request remembers the connections of its attempts (UsedConnections), and those of keyed and non-idempotent classes use none of them again. Idempotent ones, to which a confusion does no harm, keep sharing a connection: a fill follows nearly every lookup.

--- a/net/src/main/java/tamarindroute/net/CacheConnectionPool.java
+++ b/net/src/main/java/tamarindroute/net/CacheConnectionPool.java
@@ -116,8 +116,9 @@
   }
 
   private Runnable send(String id, PendingRequest request) {
-    CacheConnection connection = selectConnection(id);
     ResponseHandler handler = request.handler;
+    CacheConnection connection = selectConnection(id, handler.usedConnections());
+    handler.usedConnections().add(connection);
     connection.send(id, request);
     return () -> connection.cancel(id, handler);
   }
@@ -140,15 +141,15 @@
    * The least busy connection, or a new one. A busy one is shared if there is no descriptor for a
    * new one.
    */
-  private CacheConnection selectConnection(String id) {
-    CacheConnection leastBusy = leastBusy(id);
+  private CacheConnection selectConnection(String id, UsedConnections used) {
+    CacheConnection leastBusy = leastBusy(id, used);
     return leastBusy == null || isOverloaded(leastBusy) ? openConnection() : leastBusy;
   }
 
-  private CacheConnection leastBusy(String id) {
+  private CacheConnection leastBusy(String id, UsedConnections used) {
     CacheConnection leastBusy = null;
     for (CacheConnection connection : List.copyOf(connections)) {
-      if (connection.closeIfIdleTooLong() || !connection.accepts(id)) {
+      if (connection.closeIfIdleTooLong() || !connection.accepts(id) || used.contains(connection)) {
         continue;
       }
       if (leastBusy == null || connection.pendingCount() < leastBusy.pendingCount()) {
--- a/net/src/main/java/tamarindroute/net/DuplicateResponseDetector.java
+++ b/net/src/main/java/tamarindroute/net/DuplicateResponseDetector.java
@@ -3,7 +3,8 @@
 /**
  * Whether a cache has recently responded twice to the same request. For such a cache the ids of its
  * last responses are remembered, so that a duplicate is not taken for the response to a later
- * attempt of the same id.
+ * attempt of the same id. The first duplicate may be; requests to which that would do harm are sent
+ * by {@link UsedConnections} instead.
  */
 final class DuplicateResponseDetector {
 
--- a/net/src/main/java/tamarindroute/net/ResponseHandler.java
+++ b/net/src/main/java/tamarindroute/net/ResponseHandler.java
@@ -18,6 +18,11 @@
     return true;
   }
 
+  /** The connections that this attempt must not use since earlier ones of its request did. */
+  default UsedConnections usedConnections() {
+    return UsedConnections.untracked();
+  }
+
   /**
    * The response begins.
    *
--- a/router/src/main/java/tamarindroute/gateway/AttemptSender.java
+++ b/router/src/main/java/tamarindroute/gateway/AttemptSender.java
@@ -10,6 +10,7 @@
 import tamarindroute.net.CloseReason;
 import tamarindroute.net.Connection;
 import tamarindroute.net.ResponseHandler;
+import tamarindroute.net.UsedConnections;
 import tamarindroute.protocol.CacheProtocol;
 import tamarindroute.protocol.CacheRequest;
 import tamarindroute.protocol.CacheResponse;
@@ -137,6 +138,11 @@
       }
     }
 
+    @Override
+    public UsedConnections usedConnections() {
+      return pending.usedConnections();
+    }
+
     @Override
     public void onResponse(CacheResponse response, int bodyLength) {
       head = response;
--- a/router/src/main/java/tamarindroute/gateway/PendingRequest.java
+++ b/router/src/main/java/tamarindroute/gateway/PendingRequest.java
@@ -7,6 +7,8 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.decision.Attempt;
 import tamarindroute.decision.Request;
+import tamarindroute.decision.RequestClass;
+import tamarindroute.net.UsedConnections;
 import tamarindroute.protocol.CallFields;
 
 /**
@@ -33,6 +35,9 @@
   private boolean attemptsStopped;
   private int unsentAttempts;
 
+  /** Set for the first attempt. */
+  private UsedConnections usedConnections;
+
   PendingRequest(
       ClientConnection client,
       ClientConnection.ReceivedCall received,
@@ -115,6 +120,20 @@
     return unsentAttempts;
   }
 
+  /**
+   * Returns the connections that attempts of this request have used. They count only where another
+   * execution may do harm: a doubled refusal must not prove that an attempt which runs never ran.
+   */
+  UsedConnections usedConnections() {
+    if (usedConnections == null) {
+      usedConnections =
+          request.requestClass.idempotency() == RequestClass.Idempotency.IDEMPOTENT
+              ? UsedConnections.untracked()
+              : UsedConnections.tracked();
+    }
+    return usedConnections;
+  }
+
   /** Returns a snapshot of the attempts in flight. */
   List<AttemptSender.InFlightAttempt> inFlight() {
     return List.copyOf(inFlight);
--- a/router/src/test/java/tamarindroute/gateway/WireConnection.java
+++ b/router/src/test/java/tamarindroute/gateway/WireConnection.java
@@ -21,6 +21,7 @@
   private static final String REQUEST_ID_PREFIX = "9b1f03aa5c7e2d4";
   private static final String OBJECT_ID = "7f3a9c21e0b4d655";
   private static final String COPY_TAG = "4be0c1927d55a6f3";
+  private static final String IDEMPOTENCY_KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
   private final Socket socket;
   private final RespReader reader = new RespReader(3, 4096, 256 * 1024);
@@ -66,14 +67,20 @@
     socket.getOutputStream().write((header + body + "\r\n").getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Sends a call, as a client. */
+  /** Sends a call of an idempotent class, as a client. */
   void call(String tag, int budgetMillis) throws IOException {
+    call(tag, "clip", budgetMillis);
+  }
+
+  /** Sends a call with an idempotency key, as a client. */
+  void call(String tag, String requestClass, int budgetMillis) throws IOException {
     FieldList fields =
         new FieldList()
             .with("rid", requestId(tag))
             .with("obj", OBJECT_ID)
-            .with("budget", budgetMillis);
-    sendWithBody("body", "RPC.CALL", tag, "clip", fields.format("-"));
+            .with("budget", budgetMillis)
+            .with("token", IDEMPOTENCY_KEY);
+    sendWithBody("body", "RPC.CALL", tag, requestClass, fields.format("-"));
   }
 
   /** Serves the request of this tag, as its cache. */
