Read the feed's responses that end with the connection

Cause: HttpResponseReader.endHeaders took such a response for one without a body; RFC 9112, section 6.3, lets its body last up to the end of the connection.

Change: the body is read up to an orderly end of the connection, within the usual bound. One that a break cuts off is refused whole since its text is no object, and requested again.

--- a/net/src/main/java/tamarindroute/net/ControlFeedClient.java
+++ b/net/src/main/java/tamarindroute/net/ControlFeedClient.java
@@ -262,9 +262,26 @@
     @Override
     public void onClosed(CloseReason closeReason) {
       timeoutTimer.run();
-      if (isCurrent()) {
+      if (isCurrent() && !isCompletedBy(closeReason)) {
         retryLater(closeReason);
       }
     }
+
+    /**
+     * Whether a response was whole with the end of the connection, and the next one is requested. A
+     * response that breaks off looks the same, but its text makes no sense.
+     */
+    private boolean isCompletedBy(CloseReason closeReason) {
+      if (closeReason != CloseReason.CLOSED || !response.endInput()) {
+        return false;
+      }
+      try {
+        onResponse();
+        return true;
+      } catch (MalformedMessageException e) {
+        Log.info("feed-malformed", e.getMessage());
+        return false;
+      }
+    }
   }
 }
--- a/net/src/main/java/tamarindroute/protocol/HttpResponseReader.java
+++ b/net/src/main/java/tamarindroute/protocol/HttpResponseReader.java
@@ -6,8 +6,9 @@
 import java.util.Locale;
 
 /**
- * Incremental reader of one connection's HTTP/1.1 responses, with a content length or in chunks.
- * Bytes are fed as they come; a body is held up to the limit that the reader was made with.
+ * Incremental reader of one connection's HTTP/1.1 responses, whose bodies have a content length,
+ * come in chunks, or end with the connection (RFC 9112, section 6.3). Bytes are fed as they come; a
+ * body is held up to the limit that the reader was made with.
  */
 public final class HttpResponseReader {
 
@@ -15,6 +16,7 @@
     STATUS_LINE,
     HEADER,
     BODY,
+    BODY_UNTIL_CLOSE,
     CHUNK_LENGTH,
     CHUNK,
     CHUNK_END,
@@ -23,6 +25,9 @@
 
   private static final int MAX_LINE_LENGTH = 4096;
   private static final int MAX_HEADER_LINES = 100;
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
 
   private final int maxBodyLength;
   private final StringBuilder line = new StringBuilder();
@@ -34,6 +39,7 @@
   /** Bytes of the body or the chunk that are still to come. */
   private int remaining;
 
+  private boolean lengthKnown;
   private boolean chunked;
   private boolean closesConnection;
 
@@ -70,7 +76,11 @@
   public boolean read(ByteBuffer in) throws MalformedMessageException {
     while (in.hasRemaining()) {
       boolean whole =
-          (state == State.BODY || state == State.CHUNK) ? readBody(in) : readLineByte(in.get());
+          switch (state) {
+            case BODY, CHUNK -> readBody(in);
+            case BODY_UNTIL_CLOSE -> readBodyUntilClose(in);
+            default -> readLineByte(in.get());
+          };
       if (whole) {
         return true;
       }
@@ -78,6 +88,24 @@
     return false;
   }
 
+  /**
+   * Notes that the server has closed the connection, and returns whether a response is whole
+   * thereby: one whose body ends with the connection.
+   */
+  public boolean endInput() {
+    boolean whole = state == State.BODY_UNTIL_CLOSE;
+    state = State.STATUS_LINE;
+    return whole;
+  }
+
+  private boolean readBodyUntilClose(ByteBuffer in) throws MalformedMessageException {
+    byte[] bytes = new byte[in.remaining()];
+    checkBodyLength((long) body.size() + bytes.length);
+    in.get(bytes);
+    body.write(bytes, 0, bytes.length);
+    return false;
+  }
+
   private boolean readBody(ByteBuffer in) {
     int count = Math.min(remaining, in.remaining());
     byte[] bytes = new byte[count];
@@ -141,6 +169,7 @@
     status = parseLength("status", parts[1], 10);
     body = new ByteArrayOutputStream();
     closesConnection = parts[0].equals("HTTP/1.0");
+    lengthKnown = false;
     chunked = false;
     remaining = 0;
     headerLines = 0;
@@ -159,6 +188,7 @@
       case "content-length" -> {
         remaining = parseLength(name, value, 10);
         checkBodyLength(remaining);
+        lengthKnown = true;
       }
       case "transfer-encoding" -> chunked = value.endsWith("chunked");
       case "connection" ->
@@ -176,18 +206,27 @@
       state = remaining > 0 ? State.CHUNK : State.CHUNK_LENGTH;
       return false;
     }
+    if (!lengthKnown && mayHaveBody()) {
+      closesConnection = true;
+      state = State.BODY_UNTIL_CLOSE;
+      return false;
+    }
     boolean whole = remaining == 0;
     state = whole ? State.STATUS_LINE : State.BODY;
     return whole;
   }
 
+  private boolean mayHaveBody() {
+    return status >= FIRST_FINAL_STATUS && status != NO_CONTENT && status != NOT_MODIFIED;
+  }
+
   private void readChunkLength(String text) throws MalformedMessageException {
     remaining = parseLength("chunk length", text.split(";", 2)[0].strip(), 16);
     checkBodyLength(remaining + body.size());
     state = remaining == 0 ? State.TRAILER : State.CHUNK;
   }
 
-  private void checkBodyLength(int length) throws MalformedMessageException {
+  private void checkBodyLength(long length) throws MalformedMessageException {
     if (length > maxBodyLength) {
       throw new MalformedMessageException(
           "a body of " + length + " bytes, allowed: " + maxBodyLength);
--- a/net/src/test/java/tamarindroute/net/ControlFeedClientTest.java
+++ b/net/src/test/java/tamarindroute/net/ControlFeedClientTest.java
@@ -63,6 +63,44 @@
     assertThat(both).isLessThan(EVENT_DEADLINE.minusMillis(1000));
   }
 
+  /** Guards against events that are never applied since their response ends with the connection. */
+  @Test
+  void aResponseThatEndsWithTheConnectionIsRead() throws Exception {
+    ServerSocket server = server();
+    startedClient(server);
+    FeedSession first = new FeedSession(server);
+    first.readRequest();
+    first.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"n\":1,");
+    first.send("\"events\":[]}");
+    first.close();
+    awaitTrue(() -> receivedTexts.size() == 1);
+    assertThat(receivedTexts).containsExactly("{\"n\":1,\"events\":[]}");
+    FeedSession second = new FeedSession(server);
+    assertThat(second.readRequest()).startsWith("GET /v1/events?SUB=1");
+    second.respond("{}");
+    assertThat(second.readRequest()).startsWith("GET /v1/events?SUB=2");
+  }
+
+  /** Such a response that makes no sense, or that a reset cuts off, is requested again. */
+  @ParameterizedTest
+  @ValueSource(strings = {"broken off", "reset"})
+  void aResponseCutOffByTheEndOfTheConnectionIsRequestedAgain(String end) throws Exception {
+    ServerSocket server = server();
+    startedClient(server);
+    FeedSession first = new FeedSession(server);
+    first.readRequest();
+    first.send("HTTP/1.1 200 OK\r\n\r\n" + (end.equals("reset") ? "{" : "no object"));
+    awaitTrue(() -> consumedBytes > 0);
+    if (end.equals("reset")) {
+      first.socket.setSoLinger(true, 0);
+    }
+    first.close();
+    awaitTrue(() -> closedConnections == 1);
+    advanceUntilConnects(2);
+    assertThat(new FeedSession(server).readRequest()).startsWith("GET /v1/events?SUB=0");
+    assertThat(receivedTexts).isEmpty();
+  }
+
   /** A configuration reload during the retry delay: one connection to the new feed remains. */
   @Test
   void aMoveDuringTheRetryDelayConnectsAtOnceAndOnce() throws Exception {
