Skip the list of caches when the configuration is read again

Cause: ConfigurationReader read the file as one text and one tree, with the list that the process holds already; a reload needs one address.

Change: the file is read as a stream, and a reload skips the bootstrap events.

Evidence: ControlFeedIT.reloadsWithTheMostCachesInTheLeastMemoryMoveTheFeed (3,200 caches, 32 MB, five reloads) fails on the code before, whose feed is never asked, and passes now.

--- a/cli/src/test/java/tamarindroute/gateway/ControlFeedIT.java
+++ b/cli/src/test/java/tamarindroute/gateway/ControlFeedIT.java
@@ -17,6 +17,9 @@
 @Timeout(60)
 class ControlFeedIT extends GatewayHarness {
 
+  /** The platform's largest fleet. */
+  private static final int MOST_CACHES = 3200;
+
   @Test
   void drainFromTheFeedIsKeptAndAReusedAddressIsAnotherCache() throws Exception {
     feed.publish(EDGE_EVENT.formatted("s-0000000a", first.port(), "draining"));
@@ -142,6 +145,27 @@
     assertThat(gateway.isAlive()).isTrue();
   }
 
+  /** Guards against a reload that is lost since the file's list of caches does not fit the heap. */
+  @Test
+  void reloadsWithTheMostCachesInTheLeastMemoryMoveTheFeed() throws Exception {
+    rewriteConfiguration(
+        SERVERS_START, SERVERS_START + edgeEntries(0, MOST_CACHES - caches.size()) + ",");
+    restartWithMinimumMemory();
+    int port = feed.port();
+    for (int i = 0; i < 5; i++) {
+      try (ToyServer.Feed elsewhere = new ToyServer.Feed(0)) {
+        rewriteConfiguration("127.0.0.1:" + port, "127.0.0.1:" + elsewhere.port());
+        port = elsewhere.port();
+        sendHangUp();
+        nextCommand(elsewhere.requests, "GET /v1/events?SUB=");
+      }
+    }
+    assertThat(gateway.isAlive()).isTrue();
+    assertThat(Files.readString(folder.resolve("out.log")))
+        .doesNotContain("configuration-invalid")
+        .doesNotContain("OutOfMemoryError");
+  }
+
   /**
    * A response that the heap can't hold is refused and logged; the old list holds and later events
    * are applied.
--- a/router/src/main/java/tamarindroute/gateway/GatewayServer.java
+++ b/router/src/main/java/tamarindroute/gateway/GatewayServer.java
@@ -152,7 +152,7 @@
       String path, AtomicReference<GatewayServer> startedGateway) {
     GatewayServer gateway = startedGateway.get();
     try {
-      PlatformConfiguration reloaded = PlatformConfiguration.read(path);
+      PlatformConfiguration reloaded = PlatformConfiguration.readAgain(path);
       List<String> needsRestart = gateway.configuration.changedRestartOnlySections(reloaded);
       String ignored =
           needsRestart.isEmpty()
--- a/router/src/main/java/tamarindroute/host/ConfigurationReader.java
+++ b/router/src/main/java/tamarindroute/host/ConfigurationReader.java
@@ -4,7 +4,14 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import com.google.gson.JsonSyntaxException;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import com.google.gson.stream.MalformedJsonException;
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.Reader;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -43,30 +50,55 @@
 
   private ConfigurationReader() {}
 
-  /** See {@link PlatformConfiguration#read}. */
-  static PlatformConfiguration read(String path) throws MalformedSettingsException {
+  /**
+   * Reads the file; see {@link PlatformConfiguration#read}.
+   *
+   * @param withBootstrapEvents whether the bootstrap events are kept; otherwise they are skipped,
+   *     and take no memory however many caches they list
+   */
+  static PlatformConfiguration read(String path, boolean withBootstrapEvents)
+      throws MalformedSettingsException {
     if (path == null || path.isEmpty()) {
       throw new MalformedSettingsException("EDGE_CONFIG names no configuration file");
     }
-    String text = readText(path);
-    try {
-      return parse(text);
-    } catch (JsonParseException | IllegalArgumentException | MalformedSettingsException e) {
+    try (Reader file = Files.newBufferedReader(Path.of(path))) {
+      return parse(readSections(new JsonReader(file), withBootstrapEvents));
+    } catch (JsonParseException
+        | IllegalArgumentException
+        | MalformedSettingsException
+        | MalformedJsonException
+        | EOFException e) {
       String reason = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
       throw new MalformedSettingsException("configuration file " + path + " is invalid: " + reason);
+    } catch (IOException e) {
+      throw new MalformedSettingsException("cannot read the configuration file " + path);
     }
   }
 
-  private static String readText(String path) throws MalformedSettingsException {
-    try {
-      return Files.readString(Path.of(path));
-    } catch (IOException e) {
-      throw new MalformedSettingsException("cannot read the configuration file " + path);
+  private static JsonObject readSections(JsonReader json, boolean withBootstrapEvents)
+      throws IOException {
+    json.setStrictness(Strictness.LENIENT);
+    if (json.peek() != JsonToken.BEGIN_OBJECT) {
+      return object(JsonParser.parseReader(json), "the file");
+    }
+    JsonObject root = new JsonObject();
+    json.beginObject();
+    while (json.hasNext()) {
+      String section = json.nextName();
+      if (section.equals(BOOTSTRAP_EVENTS) && !withBootstrapEvents) {
+        json.skipValue();
+      } else {
+        root.add(section, JsonParser.parseReader(json));
+      }
+    }
+    json.endObject();
+    if (json.peek() != JsonToken.END_DOCUMENT) {
+      throw new JsonSyntaxException("text follows the object that the file is");
     }
+    return root;
   }
 
-  private static PlatformConfiguration parse(String text) throws MalformedSettingsException {
-    JsonObject root = object(JsonParser.parseString(text), "the file");
+  private static PlatformConfiguration parse(JsonObject root) throws MalformedSettingsException {
     JsonObject limits = root.has(LIMITS) ? object(root.get(LIMITS), LIMITS) : new JsonObject();
     SettingsReader settings =
         new SettingsReader(SettingsFlattener.flatten(object(required(root, SETTINGS), SETTINGS)));
--- a/router/src/main/java/tamarindroute/host/PlatformConfiguration.java
+++ b/router/src/main/java/tamarindroute/host/PlatformConfiguration.java
@@ -35,7 +35,19 @@
    *     message names it
    */
   public static PlatformConfiguration read(String path) throws MalformedSettingsException {
-    return ConfigurationReader.read(path);
+    return ConfigurationReader.read(path, true);
+  }
+
+  /**
+   * Reads a configuration file again, without its bootstrap events: a process that serves has its
+   * list of caches, and may have no memory for another.
+   *
+   * @param path of the file
+   * @throws MalformedSettingsException if there is no such file or a value in it is unusable; the
+   *     message names it
+   */
+  public static PlatformConfiguration readAgain(String path) throws MalformedSettingsException {
+    return ConfigurationReader.read(path, false);
   }
 
   /**
