Warm-up: count misses over all connections; test ports below those of connections

The stand-in caches of the warm-up miss the first request on each connection, and a request that must not be repeated takes a new connection after each miss, so such a request used up to eight. Misses are now every third of all requests.

A reload survives any exception, since the end of its thread would end the process (ConfigurationReaderTest: 14 texts that are no configuration). Tests start programs at ports that no outgoing connection gets (FreePort), the suspected cause of a gateway that ended before it listened.

--- a/cli/src/test/java/tamarindroute/faultinjection/ScenarioRun.java
+++ b/cli/src/test/java/tamarindroute/faultinjection/ScenarioRun.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import tamarindroute.example.ToyServer;
+import tamarindroute.gateway.FreePort;
 
 /**
  * One scenario: the program as a process between simulated peers, from its start to its end by
@@ -58,9 +58,7 @@
       caches.add(new ScriptedCache(context, "s-0000000" + (char) ('a' + i), CACHES.get(i)));
     }
     feed = new ScriptedFeed(context);
-    try (ServerSocket free = new ServerSocket(0)) {
-      gateway = Sockets.loopback(free.getLocalPort());
-    }
+    gateway = Sockets.loopback(FreePort.find());
     configuration = new ScenarioConfiguration(context, folder, gateway.getPort(), caches);
   }
 
--- a/cli/src/test/java/tamarindroute/gateway/FleetIT.java
+++ b/cli/src/test/java/tamarindroute/gateway/FleetIT.java
@@ -5,7 +5,6 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -187,10 +186,8 @@
    */
   private void startFleet(List<Member> members, int size, String configuration) throws Exception {
     for (int i = 0; i < size; i++) {
-      InetSocketAddress listener;
-      try (ServerSocket free = new ServerSocket(0)) {
-        listener = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-      }
+      InetSocketAddress listener =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePort.find());
       Path config = folder.resolve("config" + i + ".json");
       Files.writeString(
           config,
--- a/cli/src/test/java/tamarindroute/gateway/GatewayHarness.java
+++ b/cli/src/test/java/tamarindroute/gateway/GatewayHarness.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -63,9 +62,7 @@
     first = caches.get(0);
     second = caches.get(1);
     parent = caches.get(2);
-    try (ServerSocket free = new ServerSocket(0)) {
-      address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-    }
+    address = new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePort.find());
     String config =
         Files.readString(Path.of("example/config.json"))
             .replace("127.0.0.1:7000", "127.0.0.1:" + address.getPort())
--- a/cli/src/test/java/tamarindroute/nameserver/NameServerProcess.java
+++ b/cli/src/test/java/tamarindroute/nameserver/NameServerProcess.java
@@ -6,7 +6,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +23,7 @@
 import org.xbill.DNS.Record;
 import org.xbill.DNS.Section;
 import org.xbill.DNS.Type;
+import tamarindroute.gateway.FreePort;
 
 /** A name server, started from the jar as a user would, with its files in a folder of the test. */
 public final class NameServerProcess implements AutoCloseable {
@@ -64,9 +64,7 @@
       String dnsElements)
       throws IOException {
     this.folder = Files.createDirectories(folder);
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-    }
+    address = new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePort.find());
     Files.writeString(folder.resolve("config.json"), configuration(feedPort, edges, port));
     Files.copy(Path.of("deploy/sheds.zone"), folder.resolve("sheds.zone"));
     writeSettings(
--- a/router/src/main/java/tamarindroute/gateway/ConnectionClassifier.java
+++ b/router/src/main/java/tamarindroute/gateway/ConnectionClassifier.java
@@ -61,7 +61,7 @@
       return false;
     }
     if (toCache) {
-      handler = new WarmUpCache(connection);
+      handler = new WarmUpCache(connection, warmUp);
     } else {
       handler =
           fromWarmUpClient ? warmUp.acceptClient(connection) : clientHandler.apply(connection);
--- a/router/src/main/java/tamarindroute/gateway/GatewayServer.java
+++ b/router/src/main/java/tamarindroute/gateway/GatewayServer.java
@@ -160,7 +160,8 @@
               : "; these sections change only after a restart: " + String.join(", ", needsRestart);
       Log.info("configuration-reloaded", "feed " + reloaded.feed() + ignored);
       gateway.eventLoop.execute(() -> gateway.instance.moveFeed(reloaded.feed()));
-    } catch (IOException | OutOfMemoryError e) {
+    } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
+      // Whatever is wrong with the file, the process goes on.
       Log.info("configuration-invalid", "the previous one stays in use: " + e.getMessage());
     }
   }
--- a/router/src/main/java/tamarindroute/gateway/WarmUp.java
+++ b/router/src/main/java/tamarindroute/gateway/WarmUp.java
@@ -34,6 +34,9 @@
   /** Time after the end of the warm-up in which its own connections may still arrive. */
   private static final Duration STRAGGLER_TIME = Duration.ofSeconds(1);
 
+  /** Every third request to a stand-in cache is a miss. */
+  private static final int MISS_INTERVAL = 3;
+
   private final EventLoop eventLoop;
   private final SocketTransport transport;
   private final InetSocketAddress ownAddress;
@@ -49,6 +52,7 @@
   private WarmUpClient client;
   private boolean done;
   private boolean complete;
+  private int cacheRequestCount;
 
   /**
    * Creates a warm-up.
@@ -131,6 +135,16 @@
     return new ConnectionClassifier(this, eventLoop, connection, clientHandler);
   }
 
+  /**
+   * Whether the next request to a stand-in cache is a miss. Counted over all their connections: a
+   * request that must not be repeated takes a new one after each miss, and would never be served if
+   * the first on each were a miss.
+   */
+  boolean nextRequestMisses() {
+    cacheRequestCount++;
+    return cacheRequestCount % MISS_INTERVAL == 0;
+  }
+
   /** Returns the handler for the gateway's side of the warm-up client's connection. */
   ConnectionHandler acceptClient(Connection connection) {
     return pipeline.acceptClient(connection);
--- a/router/src/main/java/tamarindroute/gateway/WarmUpCache.java
+++ b/router/src/main/java/tamarindroute/gateway/WarmUpCache.java
@@ -14,18 +14,16 @@
 /** Stands in for the caches during the warm-up: serves most requests and misses some. */
 final class WarmUpCache implements ConnectionHandler {
 
-  /** Every third request is a miss. */
-  private static final int MISS_INTERVAL = 3;
-
   private final Connection connection;
+  private final WarmUp warmUp;
   private final RespReader reader =
       new RespReader(
           CacheProtocol.MAX_ARGUMENTS, CacheProtocol.MAX_ARGUMENT_BYTES, WarmUp.BODY_LENGTH);
   private final byte[] body = new byte[WarmUp.BODY_LENGTH];
-  private int requestCount;
 
-  WarmUpCache(Connection connection) {
+  WarmUpCache(Connection connection, WarmUp warmUp) {
     this.connection = connection;
+    this.warmUp = warmUp;
   }
 
   @Override
@@ -44,9 +42,7 @@
   }
 
   private void respond(String requestId) {
-    boolean miss = requestCount % MISS_INTERVAL == 0;
-    requestCount++;
-    if (miss) {
+    if (warmUp.nextRequestMisses()) {
       write(CacheProtocol.encodeResponseHeader(requestId, CacheStatus.MISS, null, 0));
     } else {
       write(
--- a/router/src/main/java/tamarindroute/host/ConfigurationReader.java
+++ b/router/src/main/java/tamarindroute/host/ConfigurationReader.java
@@ -65,6 +65,7 @@
       return parse(readSections(new JsonReader(file), withBootstrapEvents));
     } catch (JsonParseException
         | IllegalArgumentException
+        | IllegalStateException
         | MalformedSettingsException
         | MalformedJsonException
         | EOFException e) {
--- a/router/src/test/java/tamarindroute/host/ConfigurationReaderTest.java
+++ b/router/src/test/java/tamarindroute/host/ConfigurationReaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import tamarindroute.settings.MalformedSettingsException;
 
 /** Absent limits have defaults, and invalid values are rejected by name. */
@@ -59,6 +60,45 @@
         .doesNotContain("Cannot invoke");
   }
 
+  /**
+   * Whatever a file holds, reading it ends in a message: an exception would end a reload's thread.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "7",
+        "[1",
+        "[]",
+        "{",
+        "{\"a\"",
+        "{\"a\":",
+        "{\"known\":[",
+        "{\"known\":}",
+        "{1:2]",
+        "{\"a\":1}x",
+        "{}",
+        "{\"settings\":[[[[",
+        "\"\\u12"
+      })
+  void filesThatAreNoConfigurationAreReported(String text) throws Exception {
+    String file = Files.writeString(folder.resolve("config.json"), text).toString();
+    assertThatThrownBy(() -> PlatformConfiguration.read(file))
+        .isInstanceOf(MalformedSettingsException.class)
+        .hasMessageContaining("is invalid");
+    assertThatThrownBy(() -> PlatformConfiguration.readAgain(file))
+        .isInstanceOf(MalformedSettingsException.class)
+        .hasMessageContaining("is invalid");
+  }
+
+  /** A reload needs none of the list, which may not fit the memory twice. */
+  @Test
+  void theBootstrapEventsAreNotReadAgain() throws Exception {
+    PlatformConfiguration started = PlatformConfiguration.read("example/config.json");
+    PlatformConfiguration again = PlatformConfiguration.readAgain("example/config.json");
+    assertThat(again).isEqualTo(started.withoutBootstrapEvents());
+  }
+
   /** They are used once and must not occupy memory from then on. */
   @Test
   void theBootstrapEventsAreReleased() throws Exception {
