--- a/net/src/main/java/tamarindroute/net/BoundedAcceptor.java
+++ b/net/src/main/java/tamarindroute/net/BoundedAcceptor.java
@@ -32,7 +32,7 @@
     super(processor);
     this.clients = clients;
     setHandler(handler);
-    SocketOptions.configure(getSessionConfig());
+    SocketOptions.configureInbound(getSessionConfig());
     getSessionConfig().setReaderIdleTime(CLIENT_IDLE_SECONDS);
     setReuseAddress(true);
     // Clients that are connected are served on after the listening socket was closed.
--- a/net/src/main/java/tamarindroute/net/BufferPool.java
+++ b/net/src/main/java/tamarindroute/net/BufferPool.java
@@ -23,6 +23,9 @@
    */
   public static final int BUFFER_BYTES = 16 * 1024;
 
+  /** The size of a buffer for one read from a client. */
+  static final int CLIENT_READ_BYTES = 4 * 1024;
+
   /** Counted for each buffer beside its bytes: the objects that hold it until it was sent. */
   private static final int OVERHEAD_BYTES = 256;
 
@@ -188,8 +191,9 @@
 
   @Override
   public IoBuffer allocate(int capacity, boolean direct) {
-    return capacity == BUFFER_BYTES
-        ? acquire()
+    // Of MINA's buffers only those of reads are freed, and so counted.
+    return capacity == BUFFER_BYTES || capacity == CLIENT_READ_BYTES
+        ? acquire(capacity)
         : new PooledBuffer(ByteBuffer.allocate(capacity), false);
   }
 
--- a/net/src/main/java/tamarindroute/net/SocketTransport.java
+++ b/net/src/main/java/tamarindroute/net/SocketTransport.java
@@ -73,7 +73,7 @@
 
   private NioSocketConnector newConnector(IoProcessor<NioSession> processor) {
     NioSocketConnector created = new NioSocketConnector(processor);
-    SocketOptions.configure(created.getSessionConfig());
+    SocketOptions.configureOutbound(created.getSessionConfig());
     created.setConnectTimeoutMillis(CONNECT_TIMEOUT_MILLIS);
     created.setHandler(this);
     return created;
--- a/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
+++ b/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
@@ -49,6 +49,7 @@
   private final double maxBudgetMillis;
   private final Map<String, PendingRequest> pendingById = new HashMap<>();
   private volatile int inFlight;
+  private int clientCount;
   private boolean ready;
   private boolean draining;
 
@@ -115,7 +116,7 @@
       reject(client, received);
       return true;
     }
-    if (!withinConnectionLimit) {
+    if (!withinConnectionLimit || exceedsFairShare(client)) {
       reject(client, received);
       return true;
     }
@@ -131,6 +132,25 @@
     return true;
   }
 
+  /**
+   * Whether the gateway is busy and the client has its share of the requests in flight, so that
+   * clients that send much at once leave room for others.
+   */
+  private boolean exceedsFairShare(ClientConnection client) {
+    return pendingById.size() >= maxInFlight / 2
+        && client.openRequests() >= Math.max(1, maxInFlight / 2 / clientCount);
+  }
+
+  /** A client's connection was opened. */
+  void onClientOpened() {
+    clientCount++;
+  }
+
+  /** A client's connection has ended. */
+  void onClientClosed() {
+    clientCount--;
+  }
+
   private static void reject(ClientConnection client, ClientConnection.ReceivedCall received) {
     received.body().forEach(IoBuffer::free);
     client.responses.send(
--- a/router/src/main/java/tamarindroute/gateway/ClientConnection.java
+++ b/router/src/main/java/tamarindroute/gateway/ClientConnection.java
@@ -86,6 +86,7 @@
     this.connection = connection;
     this.responses = relay.new ClientWriter(connection);
     this.lastUsedAt = eventLoop.now();
+    admission.onClientOpened();
     startFrameTimer();
   }
 
@@ -110,6 +111,10 @@
     closeIfNothingPending();
   }
 
+  int openRequests() {
+    return pendingByTag.size();
+  }
+
   /** Whether the connection has ended or its input was closed a while ago. */
   boolean isAbandoned() {
     return connection.isAbandoned();
@@ -284,5 +289,6 @@
     releaseBody();
     List.copyOf(pendingByTag.values()).forEach(admission::onClientCancelled);
     responses.unregister();
+    admission.onClientClosed();
   }
 }
