--- a/review/kit-2/Case6.java
+++ b/review/kit-2/Case6.java
@@ -124,22 +124,42 @@
     }
   }
 
-  private static byte[] requestsAtOnce(Random random) {
+  static byte[] requestsAtOnce(Random random) {
     StringBuilder text = new StringBuilder(REQUESTS_AT_ONCE * 140);
     for (int tag = 1; tag <= REQUESTS_AT_ONCE; tag++) {
-      StringBuilder fields = new StringBuilder("rid=");
-      appendHex(fields, random.nextLong());
-      fields.append(",budget=2000,obj=");
-      appendHex(fields, random.nextLong());
-      fields.append(",piece=0,lot=1,mem=100");
-      String number = Integer.toString(tag);
-      text.append("*5\r\n$8\r\nRPC.CALL\r\n$").append(number.length()).append("\r\n").append(number);
-      text.append("\r\n$8\r\nbin-clip\r\n$").append(fields.length()).append("\r\n").append(fields);
-      text.append("\r\n$0\r\n\r\n");
+      appendCall(text, tag, random);
     }
     return text.toString().getBytes(StandardCharsets.US_ASCII);
   }
 
+  /** Hundreds of requests of which the client takes each thirty-two back at once. */
+  static byte[] requestsTakenBack(Random random, int count) {
+    StringBuilder text = new StringBuilder(count * 180);
+    for (int tag = 1; tag <= count; tag++) {
+      appendCall(text, tag, random);
+      if (tag % 32 == 0) {
+        for (int back = tag - 31; back <= tag; back++) {
+          String number = Integer.toString(back);
+          text.append("*2\r\n$10\r\nRPC.CANCEL\r\n$").append(number.length()).append("\r\n").append(number);
+          text.append("\r\n");
+        }
+      }
+    }
+    return text.toString().getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static void appendCall(StringBuilder text, int tag, Random random) {
+    StringBuilder fields = new StringBuilder("rid=");
+    appendHex(fields, random.nextLong());
+    fields.append(",budget=2000,obj=");
+    appendHex(fields, random.nextLong());
+    fields.append(",piece=0,lot=1,mem=100");
+    String number = Integer.toString(tag);
+    text.append("*5\r\n$8\r\nRPC.CALL\r\n$").append(number.length()).append("\r\n").append(number);
+    text.append("\r\n$8\r\nbin-clip\r\n$").append(fields.length()).append("\r\n").append(fields);
+    text.append("\r\n$0\r\n\r\n");
+  }
+
   private static void appendHex(StringBuilder text, long number) {
     for (int shift = 60; shift >= 0; shift -= 4) {
       text.append(Character.forDigit((int) (number >>> shift & 15), 16));
