--- a/review/kit-2/Case6.java
+++ b/review/kit-2/Case6.java
@@ -180,7 +180,7 @@
         continue;
       }
       World.Client client = call.client;
-      double openFor = client.endedAt > 0 ? client.endedAt - call.sentAt : world.now() - call.sentAt;
+      double openFor = (client.endedAt > 0 ? client.endedAt : world.now()) - call.writtenAt;
       boolean isFirst = client.calls.values().stream().noneMatch(other -> other.word != null);
       if (isFirst || (client.endedAt > 0 && openFor <= CROSSING_MILLIS)) {
         excused++;
@@ -189,8 +189,8 @@
       lost++;
       world.note(
           String.format(
-              "BROKEN: request %s, sent at %.1f, was open for %.0f ms when the gateway ended its connection",
-              call.rid, call.sentAt, openFor));
+              "BROKEN: request %s, written whole at %.1f, was open for %.0f ms when the gateway ended its connection",
+              call.rid, call.writtenAt, openFor));
     }
     world.verdict(
         lost + " requests of usual clients lost, " + answered + " answered, " + excused + " excused; "
--- a/review/kit-2/World.java
+++ b/review/kit-2/World.java
@@ -610,6 +610,9 @@
     String object;
     String fields;
     double sentAt;
+
+    /** When its last byte was written. */
+    volatile double writtenAt = Double.MAX_VALUE;
     double budget;
     volatile double answeredAt = Double.NaN;
     volatile String word;
@@ -655,6 +658,7 @@
         try {
           out.write(frame("RPC.CALL", call.tag, requestClass, call.fields, body));
           out.flush();
+          call.writtenAt = now();
         } catch (IOException e) {
           fail(call, "not sent: " + e.getMessage());
         }
