--- a/cli/src/test/java/tamarindroute/cli/KnownRedTest.java
+++ b/cli/src/test/java/tamarindroute/cli/KnownRedTest.java
@@ -55,9 +55,26 @@
                 """));
   }
 
+  @Test
+  void scriptIsCheckedAndToldButIsNoTest() throws Exception {
+    String script = "review/6/run.sh | red | review/6/run.sh, seed 6 | requests lost | 54";
+    assertThat(list(script + "\n" + ONE_ENTRY).output())
+        .isEqualTo(list(ONE_ENTRY).output())
+        .startsWith("KnownRedTest ");
+    String file = folder.resolve("KNOWN-RED.txt").toString();
+    Files.writeString(Path.of(file), script + "\n" + ONE_ENTRY);
+    assertThat(run("scripts", file)).isEqualTo(new Result(0, script + "\n"));
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
+        "review/6/none.sh | red | c | a | 1",
+        "review/6/claim.txt | red | c | a | 1",
+        "review/6 | red | c | a | 1",
+        "/bin/sh | red | c | a | 1",
+        "review/../.ci/run | red | c | a | 1",
+        "review/6/run.sh | red | c | a |",
         "KnownRedTest#noSuchMethod | red | c | a | 1",
         "NoSuchTest#x | red | c | a | 1",
         "KnownRedTest#list | red | c | | 1",
