End a client's connection only if nothing is owed on it, unread requests included

Cause: a request is taken once it is written, but whoever ended a connection asked only for requests that the event loop had opened. Not asked: bytes that the selector has not noticed, bytes whose connection waits for its turn or for buffers (ClientReadQueue, ReadAdmission), bytes that wait for the event loop (eviction: last, but closed), the rest of a frame (SIGTERM, frame time-out). The close discarded them from its decision on.

Change: Connection.closeIfUnused, asked by eviction, idle time, frame time-out, SIGTERM and the name server. Decided on MINA's thread, the only one that reads, in the step in which the output ends, after a last read; so a request is found, or crosses the close. SessionCloser is moved out of Connection, FrameTimeout out of ClientConnection, HoldableScheduler out of the tests' PipelineHarness.

--- a/net/src/main/java/tamarindroute/net/ClientConnections.java
+++ b/net/src/main/java/tamarindroute/net/ClientConnections.java
@@ -1,6 +1,8 @@
 package tamarindroute.net;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,6 +29,10 @@
    */
   private static final int MAX_LINGERING = 8;
 
+  /** When a connection is ended if more are open than the limit and all were in use before. */
+  private static final Duration EVICTION_RETRY_INTERVAL = Duration.ofMillis(100);
+
+  private final Scheduler scheduler;
   private final int maxByDescriptors;
 
   /** Also read on MINA's thread. */
@@ -38,13 +44,19 @@
   private final AtomicInteger pendingAccepts = new AtomicInteger();
 
   private final Set<Connection> clients = new LinkedHashSet<>();
+
+  /** Clients that are asked to end for the sake of others, and have not ended yet. */
+  private final Set<Connection> evicting = new HashSet<>();
+
   private final Set<Connection> lingering = new LinkedHashSet<>();
+  private boolean evictionRetryScheduled;
   private Function<Connection, ConnectionHandler> handlerFactory;
   private boolean draining;
   private Runnable drainedListener = () -> {};
 
   /** Creates an empty set that may use this many descriptors. */
-  ClientConnections(int maxByDescriptors) {
+  ClientConnections(Scheduler scheduler, int maxByDescriptors) {
+    this.scheduler = scheduler;
     this.maxByDescriptors = maxByDescriptors;
     this.maxClients = maxByDescriptors;
   }
@@ -93,13 +105,15 @@
   /**
    * Admits a client. At the limit the connection that has been idle for longest is closed for it:
    * otherwise clients that send one request and stay, or none, would shut out all others. The new
-   * connection is closed only if all are in use.
+   * connection is closed only if all are in use. Until MINA's thread has confirmed that the idle
+   * connection has no unread bytes either, both are open.
    */
   void admit(Connection connection, IoSession session) {
     if (!session.isConnected()) {
       return;
     }
-    if (clients.size() >= limitWithLingering() && !evictIdle()) {
+    if (!reduceTo(limitWithLingering() - 1)) {
+      logAtCapacity("all in use: a new one closed");
       connection.onSessionOpened(session);
       connection.close(CloseReason.CLOSED_LOCALLY, true);
       return;
@@ -118,20 +132,54 @@
         Math.max(SocketTransport.MIN_DESCRIPTORS_PER_SIDE, maxByDescriptors - MAX_LINGERING));
   }
 
+  /** Has idle connections closed until so many are left; false if too many are in use. */
+  private boolean reduceTo(int count) {
+    while (clients.size() - evicting.size() > count) {
+      if (!evictIdle()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean evictIdle() {
-    Connection idle = IdleConnections.longestIdle(clients);
-    Log.info(
-        "listener-at-capacity",
-        clients.size()
-            + " client connections, "
-            + (idle == null ? "all in use: a new one closed" : "an idle one closed"));
+    Connection idle =
+        IdleConnections.longestIdle(
+            clients.stream()
+                .filter(
+                    client -> !client.inbound().hasUnhandledInput() && !evicting.contains(client)));
     if (idle == null) {
       return false;
     }
-    idle.close(CloseReason.CLOSED_LOCALLY, true);
+    logAtCapacity("an idle one closed");
+    evicting.add(idle);
+    idle.closeIfUnused();
     return true;
   }
 
+  private void logAtCapacity(String consequence) {
+    Log.info("listener-at-capacity", clients.size() + " client connections, " + consequence);
+  }
+
+  /** The connection stays open, since it is in use; if it is one too many, another one ends. */
+  void onCloseDeclined(Connection connection) {
+    if (evicting.remove(connection)) {
+      reduceToLimit();
+    }
+  }
+
+  private void reduceToLimit() {
+    if (!reduceTo(limitWithLingering()) && !evictionRetryScheduled) {
+      evictionRetryScheduled = true;
+      scheduler.schedule(EVICTION_RETRY_INTERVAL, this::retryEviction);
+    }
+  }
+
+  private void retryEviction() {
+    evictionRetryScheduled = false;
+    reduceToLimit();
+  }
+
   /** A client's connection lingers. At the end, when no others come, any number may. */
   void onLingering(Connection connection) {
     lingering.add(connection);
@@ -145,6 +193,7 @@
   /** The connection has ended for its handler; its session may linger. */
   void onConnectionClosed(Connection connection) {
     clients.remove(connection);
+    evicting.remove(connection);
   }
 
   /** The session of any connection has ended. */
--- a/net/src/main/java/tamarindroute/net/Connection.java
+++ b/net/src/main/java/tamarindroute/net/Connection.java
@@ -23,6 +23,8 @@
   private final OutboundBytes outbound = new OutboundBytes();
   private final RemoteSide remoteSide = new RemoteSide();
   private final InputDiscarder inputDiscarder = new InputDiscarder();
+  private final CloseRequest closeRequest;
+  private final SessionCloser closer;
   ConnectionHandler handler = DiscardingHandler.INSTANCE;
   private volatile IoSession session;
   private boolean finished;
@@ -37,6 +39,8 @@
   Connection(SocketTransport transport, boolean fromClient) {
     this.transport = transport;
     this.fromClient = fromClient;
+    this.closeRequest = new CloseRequest(this, transport);
+    this.closer = new SessionCloser(this, transport);
     this.inbound = new InboundQueue(this, transport.bufferPool());
   }
 
@@ -168,34 +172,33 @@
     // used: for a connect that MINA has not registered yet it breaks MINA's count of connects,
     // whereupon MINA's thread ends too early and later connects never complete.
     if (session != null) {
-      closeSession(flush);
+      closer.close(session, flush);
     }
     finish(reason);
   }
 
-  private void closeSession(boolean flush) {
-    if (!flush) {
-      session.closeNow();
-    } else if (fromClient) {
-      startLingering();
-    } else {
-      session.closeOnFlush();
-    }
-  }
-
   /**
-   * Starts the lingering close. Both threads first set their own flag and then read the other's, so
-   * that at least one of them sees that both this side and the client have finished.
+   * Ends a client's connection in order unless something is owed on it: bytes that were not sent
+   * yet are sent first, and if the client has sent bytes that the handler was not given, it is
+   * given them and the connection stays. To be called while no request of the connection is open;
+   * the handler learns of the end by {@link ConnectionHandler#onClosed}.
    */
-  private void startLingering() {
-    inputDiscarder.startLingering(new LingeringClose(this, transport));
-    if (remoteSide.isInputClosed()) {
-      session.closeOnFlush();
-    } else {
-      session.resumeRead();
+  public void closeIfUnused() {
+    if (!finished) {
+      closeRequest.make();
     }
   }
 
+  /** The request to close this connection if it is unused. */
+  CloseRequest closeRequest() {
+    return closeRequest;
+  }
+
+  /** The end of the session. */
+  SessionCloser closer() {
+    return closer;
+  }
+
   /** Ends a lingering close at once. */
   void closeNow() {
     session.closeNow();
@@ -223,23 +226,6 @@
     return remoteSide;
   }
 
-  /**
-   * On MINA's thread, after a write: whether this was the last write before the output is shut
-   * down.
-   */
-  boolean isOutputShutdownDue() {
-    return inputDiscarder.isLingering() && unsentBytes() == 0;
-  }
-
-  /**
-   * On MINA's thread: the other side sends no more. Returns whether a lingering close waited for
-   * that.
-   */
-  boolean onInputClosed() {
-    remoteSide.onInputClosed();
-    return inputDiscarder.isLingering();
-  }
-
   /** The connection is established, unless it was closed meanwhile. */
   void onSessionOpened(IoSession opened) {
     if (finished) {
@@ -260,6 +246,7 @@
    * other connection.
    */
   void deliver(ByteBuffer bytes) {
+    closeRequest.withdraw();
     try {
       handler.onReceived(bytes);
     } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
--- a/net/src/main/java/tamarindroute/net/InboundQueue.java
+++ b/net/src/main/java/tamarindroute/net/InboundQueue.java
@@ -36,6 +36,7 @@
   private volatile boolean roomReserved;
 
   private final ReadTurn readTurn = new ReadTurn();
+  private final UnreadInput unread = new UnreadInput();
 
   InboundQueue(Connection connection, BufferPool bufferPool) {
     this.connection = connection;
@@ -55,6 +56,19 @@
     return paused;
   }
 
+  /**
+   * On any thread: whether the other side is known to have sent bytes that the handler was not
+   * given yet, read or not.
+   */
+  boolean hasUnhandledInput() {
+    return unread.awaitsRead() || hasUnconsumedReads();
+  }
+
+  /** What is known of the bytes that were not read yet. */
+  UnreadInput unread() {
+    return unread;
+  }
+
   void pause(IoSession session) {
     if (!paused) {
       paused = true;
--- a/net/src/main/java/tamarindroute/net/LingeringClose.java
+++ b/net/src/main/java/tamarindroute/net/LingeringClose.java
@@ -39,7 +39,7 @@
 
   /** Starts the timeout for the unsent bytes; on the event loop. */
   void start() {
-    transport.onLingering(connection);
+    transport.clients().onLingering(connection);
     timer = transport.schedule(FLUSH_TIMEOUT, connection::closeNow);
   }
 
--- a/net/src/main/java/tamarindroute/net/OutboundConnections.java
+++ b/net/src/main/java/tamarindroute/net/OutboundConnections.java
@@ -25,7 +25,7 @@
 
   /** Whether one more can be opened, if need be after an idle one was closed. */
   boolean canConnect() {
-    return hasDescriptor() || IdleConnections.longestIdle(open) != null;
+    return hasDescriptor() || IdleConnections.longestIdle(open.stream()) != null;
   }
 
   private boolean hasDescriptor() {
@@ -38,7 +38,7 @@
    */
   boolean add(Connection connection) {
     if (!hasDescriptor()) {
-      Connection idle = IdleConnections.longestIdle(open);
+      Connection idle = IdleConnections.longestIdle(open.stream());
       if (idle == null) {
         return false;
       }
--- a/net/src/main/java/tamarindroute/net/ReadAdmission.java
+++ b/net/src/main/java/tamarindroute/net/ReadAdmission.java
@@ -45,11 +45,20 @@
    * On MINA's thread: whether the connection, which has bytes to read, is read now. Otherwise its
    * reads are suspended until the event loop has caught up and there is room.
    */
-  boolean admits(Connection connection, IoSession session) {
+  boolean admits(Connection connection, IoSession session, SelectRounds rounds) {
+    connection.inbound().unread().onReadable(rounds);
     boolean granted = clientReads.takeGrant(connection);
     if (connection.inputDiscarder().isDiscarding()) {
       return true;
     }
+    boolean admitted = admits(connection, session, granted);
+    if (!admitted) {
+      connection.inbound().unread().onReadDeferred();
+    }
+    return admitted;
+  }
+
+  private boolean admits(Connection connection, IoSession session, boolean granted) {
     if (!hasRoomFor(connection)) {
       return defer(connection, session);
     }
@@ -89,6 +98,7 @@
   /** On MINA's thread: hands received bytes over to the event loop. */
   void handOver(Connection connection, IoSession session, IoBuffer bytes) {
     Duration receivedAt = scheduler.now();
+    connection.inbound().unread().onRead(bytes.limit() < bytes.capacity());
     connection.inbound().beforeHandOver(session);
     if (connection.isFromClient()) {
       clientReads.onHandOver(bytes.remaining());
--- a/net/src/main/java/tamarindroute/net/SelectorProcessor.java
+++ b/net/src/main/java/tamarindroute/net/SelectorProcessor.java
@@ -7,24 +7,40 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.SessionState;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA's selector loop with four corrections: the interest in reads and writes changes on the
+ * MINA's selector loop with five corrections: the interest in reads and writes changes on the
  * selector's thread only, a connection is read only if the transport admits it, the buffer of a
- * read that ends in a reset is freed, and the output of a connection can be shut down alone. Public
- * with a public constructor because MINA creates it by reflection.
+ * read that ends in a reset is freed, the output of a connection can be shut down alone, and a
+ * connection can be ended provided that it has no unread bytes. Public with a public constructor
+ * because MINA creates it by reflection.
  */
 public final class SelectorProcessor extends NioProcessor {
 
+  /** Enough for the first bytes of a command, which tell its kind. */
+  private static final int PROBE_BYTES = 256;
+
   private final Queue<NioSession> changedSessions = new ConcurrentLinkedQueue<>();
+  private final SelectRounds rounds = new SelectRounds();
 
   /** Creates the processor; called by MINA. */
   public SelectorProcessor(Executor executor) {
     super(executor);
   }
 
+  /**
+   * On any thread: has the selector's thread look again at the session's interest and at the close
+   * of its connection.
+   */
+  static void reconsider(IoSession session) {
+    NioSession nioSession = (NioSession) session;
+    nioSession.getProcessor().updateTrafficControl(nioSession);
+  }
+
   /**
    * Defers the update to the selector's thread. MINA reads and sets a session's interest in two
    * steps, on whichever thread suspends or resumes reads; if the selector's thread does the same
@@ -40,7 +56,7 @@
   protected boolean isReadable(NioSession session) {
     return super.isReadable(session)
         && !session.isReadSuspended()
-        && ((SocketTransport) session.getHandler()).admitsRead(session);
+        && ((SocketTransport) session.getHandler()).admitsRead(session, rounds);
   }
 
   /** Frees the buffer if the read fails, which MINA does only for reads that return no bytes. */
@@ -56,16 +72,62 @@
 
   @Override
   protected int select(long timeout) throws Exception {
+    long startedAtNanos = System.nanoTime();
     int selected = super.select(timeout);
+    rounds.onSelected(startedAtNanos);
     for (NioSession next = changedSessions.poll(); next != null; next = changedSessions.poll()) {
-      super.updateTrafficControl(next);
-      if (Connection.of(next).inputDiscarder().claimOutputShutdown()) {
+      updateInterest(next);
+      if (Connection.of(next).inputDiscarder().claimOutputShutdown() || confirmsClose(next)) {
         shutDownOutput(next);
       }
     }
     return selected;
   }
 
+  private void updateInterest(NioSession session) {
+    boolean wasWatched = isInterestedInRead(session);
+    super.updateTrafficControl(session);
+    if (!wasWatched && isInterestedInRead(session)) {
+      Connection.of(session).inbound().unread().onReadsResumed(rounds);
+    }
+  }
+
+  /**
+   * Decides on a requested close. Nothing is read between this decision and the end of the output,
+   * so that a request is either found here or crosses the close.
+   */
+  private boolean confirmsClose(NioSession session) {
+    Connection connection = Connection.of(session);
+    if (!connection.closeRequest().isDue() || !isActive(session)) {
+      return false;
+    }
+    if (connection.inbound().hasUnhandledInput() || readsProbe(session)) {
+      connection.closeRequest().decline();
+      return false;
+    }
+    return connection.closeRequest().confirm();
+  }
+
+  private boolean isActive(NioSession session) {
+    return getState(session) == SessionState.OPENED && !session.isClosing();
+  }
+
+  /** Reads and hands over a few bytes, whether or not the connection is to be read for now. */
+  private boolean readsProbe(NioSession session) {
+    IoBuffer probe = IoBuffer.allocate(PROBE_BYTES);
+    try {
+      if (read(session, probe) <= 0) {
+        return false;
+      }
+    } catch (Exception e) {
+      session.getFilterChain().fireExceptionCaught(e);
+      return true;
+    }
+    Connection.of(session).inbound().unread().onReadable(rounds);
+    session.getFilterChain().fireMessageReceived(probe.flip());
+    return true;
+  }
+
   /** MINA has no half-close and hides the channel, but the selector's keys hold it. */
   private void shutDownOutput(NioSession session) {
     for (SelectionKey key : selector.keys()) {
--- a/net/src/main/java/tamarindroute/net/SocketTransport.java
+++ b/net/src/main/java/tamarindroute/net/SocketTransport.java
@@ -60,7 +60,7 @@
     this.scheduler = scheduler;
     this.bufferPool = bufferPool;
     int perSide = Math.max(MIN_DESCRIPTORS_PER_SIDE, (descriptors - RESERVED_DESCRIPTORS) / 2);
-    clients = new ClientConnections(perSide);
+    clients = new ClientConnections(scheduler, perSide);
     outbound = new OutboundConnections(perSide);
     readAdmission = new ReadAdmission(scheduler, bufferPool);
     bufferPool.onCapacityAvailable(() -> scheduler.execute(readAdmission::reconsiderDeferred));
@@ -118,9 +118,9 @@
     clients.drain(listener);
   }
 
-  /** A client's connection waits for the client to close. */
-  void onLingering(Connection connection) {
-    clients.onLingering(connection);
+  /** The connections that clients opened. */
+  ClientConnections clients() {
+    return clients;
   }
 
   Runnable schedule(Duration delay, Runnable task) {
@@ -187,8 +187,8 @@
   }
 
   /** On MINA's thread: whether a connection that has bytes to read is read now. */
-  boolean admitsRead(IoSession session) {
-    return readAdmission.admits(Connection.of(session), session);
+  boolean admitsRead(IoSession session, SelectRounds rounds) {
+    return readAdmission.admits(Connection.of(session), session, rounds);
   }
 
   /** The connection has ended for its handler. */
@@ -232,10 +232,9 @@
 
   @Override
   public void messageSent(IoSession session, Object message) {
-    if (Connection.of(session).isOutputShutdownDue()) {
+    if (Connection.of(session).closer().isOutputShutdownDue()) {
       // The processor knows the channel, and checks again there.
-      NioSession nioSession = (NioSession) session;
-      nioSession.getProcessor().updateTrafficControl(nioSession);
+      SelectorProcessor.reconsider(session);
     }
   }
 
@@ -266,7 +265,7 @@
     // it.
     Connection connection = Connection.of(session);
     session.suspendRead();
-    if (connection.onInputClosed()) {
+    if (connection.closer().onInputClosed()) {
       session.closeOnFlush();
     } else {
       scheduler.execute(() -> connection.handler.onInputClosed());
--- a/router/src/main/java/tamarindroute/gateway/ClientConnection.java
+++ b/router/src/main/java/tamarindroute/gateway/ClientConnection.java
@@ -26,12 +26,6 @@
  */
 final class ClientConnection implements ConnectionHandler {
 
-  /**
-   * Longest time from the opening of a connection to the last byte of its first request, and from
-   * the first byte of a later request to its last.
-   */
-  static final Duration FRAME_TIMEOUT = Duration.ofSeconds(2);
-
   /**
    * Time from the end of a client's input until its unsent attempts are dropped. No attempt may
    * begin 0.1 s after a client has gone; the other half allows for a backlog of this gateway.
@@ -69,9 +63,7 @@
   private boolean hasSentRequest;
   private final CallViolations violations = new CallViolations();
 
-  /** Cancels the timer of the frame being read. Null between frames. */
-  private Runnable cancelFrameTimer;
-
+  private final FrameTimeout frameTimeout;
   private Runnable cancelAbandonTimer = () -> {};
 
   ClientConnection(
@@ -87,20 +79,17 @@
     this.responses = relay.new ClientWriter(connection);
     this.lastUsedAt = eventLoop.now();
     admission.onClientOpened();
-    startFrameTimer();
+    // The rest of a frame may have arrived in time and wait to be read, so it is asked for.
+    frameTimeout = new FrameTimeout(eventLoop, this::closeIfNothingPending);
+    frameTimeout.start();
   }
 
-  private void startFrameTimer() {
-    cancelFrameTimer = eventLoop.schedule(FRAME_TIMEOUT, this::onFrameTimeout);
-  }
-
-  private void onFrameTimeout() {
+  private void logFrameTimeout() {
     Log.info(
         "client-timeout",
         hasSentRequest
             ? "the last bytes of a request did not arrive in time; closing the connection"
             : "no complete request arrived after connecting; closing the connection");
-    stopReading();
   }
 
   /** Discards further input and closes the connection once its open requests are answered. */
@@ -127,14 +116,15 @@
 
   /**
    * Returns now while a request is being received, so that the connection is evicted last: eviction
-   * would lose the part received so far.
+   * would lose the part received so far. Input that was not handled yet is the connection's to
+   * know.
    */
   @Override
   public Duration idleSince() {
     if (!pendingByTag.isEmpty() || connection.unsentBytes() > 0) {
       return null;
     }
-    if (!reader.betweenFrames() || connection.hasUnconsumedBytes()) {
+    if (!reader.betweenFrames()) {
       return eventLoop.now();
     }
     if (hasSentRequest) {
@@ -170,10 +160,13 @@
   }
 
   private void onInputConsumed() {
-    if (cancelFrameTimer == null && !reader.betweenFrames()) {
-      startFrameTimer();
+    if (!reader.betweenFrames()) {
+      frameTimeout.start();
     }
-    if (admission.isDraining()) {
+    if (frameTimeout.isHopeless(connection.receivedAt())) {
+      logFrameTimeout();
+      stopReading();
+    } else if (admission.isDraining() || frameTimeout.isOverdue()) {
       closeIfNothingPending();
     }
   }
@@ -188,10 +181,7 @@
   private void onFrameEnd() throws MalformedMessageException {
     hasSentRequest = true;
     lastUsedAt = connection.receivedAt();
-    if (cancelFrameTimer != null) {
-      cancelFrameTimer.run();
-      cancelFrameTimer = null;
-    }
+    frameTimeout.stop();
     onCommand(ClientProtocol.decodeCommand(reader.arguments(), reader.hasBody()));
     // The body of a command that is not a call must not be prepended to the next call's body.
     releaseBody();
@@ -234,6 +224,8 @@
 
   @Override
   public void onIdle() {
+    // A client that has taken nothing for so long will not.
+    inputFinished |= connection.unsentBytes() > 0;
     closeIfNothingPending();
   }
 
@@ -268,23 +260,29 @@
   void onRequestFinished(PendingRequest pending) {
     pendingByTag.remove(pending.tag, pending);
     lastUsedAt = eventLoop.now();
-    if (inputFinished || admission.isDraining()) {
+    if (inputFinished || admission.isDraining() || frameTimeout.isOverdue()) {
       closeIfNothingPending();
     }
   }
 
+  /** A request that is not read yet is pending, too, unless the input has ended. */
   private void closeIfNothingPending() {
-    if (pendingByTag.isEmpty()) {
-      inputFinished = true;
+    if (!pendingByTag.isEmpty()) {
+      return;
+    }
+    if (inputFinished) {
       connection.close(CloseReason.CLOSED_LOCALLY, true);
+    } else {
+      connection.closeIfUnused();
     }
   }
 
   @Override
   public void onClosed(CloseReason reason) {
-    if (cancelFrameTimer != null) {
-      cancelFrameTimer.run();
+    if (frameTimeout.isOverdue() && !inputFinished) {
+      logFrameTimeout();
     }
+    frameTimeout.stop();
     cancelAbandonTimer.run();
     releaseBody();
     List.copyOf(pendingByTag.values()).forEach(admission::onClientCancelled);
--- a/router/src/main/java/tamarindroute/gateway/ConnectionClassifier.java
+++ b/router/src/main/java/tamarindroute/gateway/ConnectionClassifier.java
@@ -33,13 +33,12 @@
     this.warmUp = warmUp;
     this.connection = connection;
     this.clientHandler = clientHandler;
-    this.cancelTimer =
-        eventLoop.schedule(ClientConnection.FRAME_TIMEOUT, this::closeIfUnclassified);
+    this.cancelTimer = eventLoop.schedule(FrameTimeout.LIMIT, this::closeIfUnclassified);
   }
 
   private void closeIfUnclassified() {
     if (handler == null) {
-      connection.close(CloseReason.CLOSED_LOCALLY, true);
+      connection.closeIfUnused();
     }
   }
 
--- a/router/src/main/java/tamarindroute/nameserver/TcpQueryConnection.java
+++ b/router/src/main/java/tamarindroute/nameserver/TcpQueryConnection.java
@@ -86,7 +86,7 @@
     if (openQueries > 0) {
       cancelTimeout = scheduler.schedule(MESSAGE_TIMEOUT, this::onTimeout);
     } else {
-      connection.close(CloseReason.CLOSED_LOCALLY, true);
+      connection.closeIfUnused();
     }
   }
 
--- a/router/src/test/java/tamarindroute/gateway/PipelineHarness.java
+++ b/router/src/test/java/tamarindroute/gateway/PipelineHarness.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -31,7 +30,6 @@
 import tamarindroute.host.PlatformConfiguration;
 import tamarindroute.net.BufferPool;
 import tamarindroute.net.CacheConnectionPool;
-import tamarindroute.net.Scheduler;
 import tamarindroute.net.SocketTransport;
 
 /**
@@ -45,32 +43,12 @@
 
   final EventLoop eventLoop = new EventLoop();
 
-  /** A permit for each task that MINA's thread has handed over. */
-  private final Semaphore handOvers = new Semaphore(0);
-
-  private final Scheduler countingScheduler =
-      new Scheduler() {
-        @Override
-        public Duration now() {
-          return eventLoop.now();
-        }
-
-        @Override
-        public void execute(Runnable task) {
-          eventLoop.execute(task);
-          handOvers.release();
-        }
-
-        @Override
-        public Runnable schedule(Duration span, Runnable task) {
-          return eventLoop.schedule(span, task);
-        }
-      };
+  final HoldableScheduler scheduler = new HoldableScheduler(eventLoop);
 
   private final BufferPool bufferPool = new BufferPool(64L * 1024 * 1024);
 
   /** The limit leaves each side eight descriptors. */
-  private final SocketTransport transport = new SocketTransport(countingScheduler, bufferPool, 80);
+  private final SocketTransport transport = new SocketTransport(scheduler, bufferPool, 80);
 
   private final List<AutoCloseable> closing = new ArrayList<>();
   final ScriptedPolicy policy = new ScriptedPolicy();
@@ -129,7 +107,7 @@
   CacheConnectionPool connectionPool(String id, InetSocketAddress address) {
     return new CacheConnectionPool(
         transport,
-        countingScheduler,
+        scheduler,
         id,
         address,
         new CacheConnectionPool.Limits(1, 100, CONNECT_TIMEOUT, Duration.ZERO));
@@ -183,7 +161,7 @@
       eventLoop.execute(
           () -> {
             started.countDown();
-            await(released);
+            HoldableScheduler.await(released);
           });
     }
 
@@ -192,30 +170,22 @@
      */
     EventLoopHold awaitHeld() {
       awaitStarted();
-      handOvers.drainPermits();
+      scheduler.forgetHandOvers();
       return this;
     }
 
     void awaitStarted() {
-      await(started);
+      HoldableScheduler.await(started);
     }
 
     void release() {
       released.countDown();
     }
-
-    private static void await(CountDownLatch latch) {
-      try {
-        assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
-      } catch (InterruptedException e) {
-        throw new IllegalStateException(e);
-      }
-    }
   }
 
   /** Returns when MINA's thread has handed over one more task. */
   void awaitHandOver() throws Exception {
-    assertThat(handOvers.tryAcquire(5, TimeUnit.SECONDS)).as("handed over").isTrue();
+    scheduler.awaitHandOver();
   }
 
   void spinUntilAfter(Duration time) {
@@ -255,11 +225,26 @@
   }
 
   WireConnection connectClient() throws Exception {
-    WireConnection client = wire(new Socket(listener.getAddress(), listener.getPort()));
+    WireConnection client = connectSilentClient();
     client.assertFramesAre();
     return client;
   }
 
+  /** A client that has sent nothing. */
+  WireConnection connectSilentClient() throws IOException {
+    return wire(new Socket(listener.getAddress(), listener.getPort()));
+  }
+
+  /** Has all clients' connections closed once nothing is owed on them, as a shutdown does. */
+  void drain() throws Exception {
+    onEventLoop(
+        () -> {
+          pipeline.startDraining();
+          transport.drainClients(() -> {});
+          return null;
+        });
+  }
+
   WireConnection accept(ServerSocketChannel server) throws IOException {
     return wire(server.socket().accept());
   }
--- /dev/null
+++ b/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
@@ -0,0 +1,171 @@
+package tamarindroute.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tamarindroute.decision.Decision;
+
+/**
+ * Requests that a client has sent whole and the gateway has not read yet, when their connection is
+ * to be ended.
+ */
+@Timeout(30)
+class UnreadRequestTest extends PipelineHarness {
+
+  /** All that the harness admits. */
+  private static final int MAX_CLIENTS = 8;
+
+  private static final int BUDGET_MILLIS = 3000;
+  private static final Duration WAIT = Duration.ofMillis(300);
+
+  /** Four clients with four reads of 4 KB each take all that may wait for the event loop. */
+  private static final int FILLING_CLIENTS = 4;
+
+  private static final int READS_OF_A_CLIENT = 4;
+  private static final int READ_BYTES = 4 * 1024;
+
+  private final List<WireConnection> clients = new ArrayList<>();
+
+  UnreadRequestTest() throws IOException {}
+
+  /** The first client has been idle for longest, and all have sent something. */
+  private void connectAll() throws Exception {
+    start();
+    for (int i = 0; i < MAX_CLIENTS; i++) {
+      clients.add(connectClient());
+    }
+  }
+
+  private WireConnection firstClient() {
+    return clients.get(0);
+  }
+
+  private WireConnection lastClient() {
+    return clients.get(MAX_CLIENTS - 1);
+  }
+
+  private void willRejectAll(int count) throws Exception {
+    for (int i = 0; i < count; i++) {
+      willDecide(request -> new Decision.Reject(null));
+    }
+  }
+
+  /** Fills what may wait for the event loop, which is held, with the beginnings of requests. */
+  private void fillReads() throws Exception {
+    for (int i = 1; i <= FILLING_CLIENTS; i++) {
+      clients.get(i).sendBodyStart(READS_OF_A_CLIENT * READ_BYTES);
+    }
+    for (int i = 0; i < FILLING_CLIENTS * READS_OF_A_CLIENT; i++) {
+      awaitHandOver();
+    }
+  }
+
+  /** The first half of the call is read; MINA's thread is held when the second half comes. */
+  private void sendCallWithUnnoticedRest() throws Exception {
+    byte[] call = WireConnection.callFrame("1", BUDGET_MILLIS);
+    scheduler.forgetHandOvers();
+    firstClient().sendPart(call, 0, call.length / 2);
+    awaitHandOver();
+    awaitEventLoop();
+    scheduler.holdSelector(lastClient());
+    firstClient().sendPart(call, call.length / 2, call.length);
+  }
+
+  private void awaitEventLoop() throws Exception {
+    onEventLoop(() -> null);
+    onEventLoop(() -> null);
+  }
+
+  /** Guards against a request lost while its connection waits in the queue of those to be read. */
+  @Test
+  void connectionThatWaitsToBeReadIsNotClosedForANewOne() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    fillReads();
+    WireConnection newClient = connectSilentClient();
+    awaitHandOver();
+    firstClient().call("1", BUDGET_MILLIS);
+    awaitHandOver();
+    hold.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    newClient.assertFramesAre();
+  }
+
+  /** Guards against requests lost that were read and wait for the event loop. */
+  @Test
+  void connectionsWhoseRequestsWaitForTheEventLoopAreNotClosedForANewOne() throws Exception {
+    connectAll();
+    willRejectAll(MAX_CLIENTS);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    WireConnection newClient = connectSilentClient();
+    awaitHandOver();
+    for (int i = 0; i < MAX_CLIENTS; i++) {
+      clients.get(i).call(String.valueOf(i + 1), BUDGET_MILLIS);
+      awaitHandOver();
+    }
+    hold.release();
+    assertThat(newClient.readFrame()).isEqualTo(WireConnection.END);
+    for (int i = 0; i < MAX_CLIENTS; i++) {
+      assertThat(clients.get(i).readFrame()).isEqualTo(i + 1 + " NAK");
+    }
+  }
+
+  /** Guards against a request lost that the selector has not noticed. */
+  @Test
+  void connectionWithAnUnnoticedRequestIsNotClosedForANewOne() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    WireConnection newClient = connectSilentClient();
+    awaitHandOver();
+    scheduler.holdSelector(lastClient());
+    firstClient().call("1", BUDGET_MILLIS);
+    hold.release();
+    awaitEventLoop();
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    newClient.assertFramesAre();
+  }
+
+  /** Guards against a request lost at SIGTERM while it waits to be read. */
+  @Test
+  void unnoticedRequestIsAnsweredBeforeTheShutdownClosesItsConnection() throws Exception {
+    connectAll();
+    scheduler.holdSelector(lastClient());
+    firstClient().call("1", BUDGET_MILLIS);
+    drain();
+    awaitEventLoop();
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+  }
+
+  /** Guards against a request lost at SIGTERM of which a part was read. */
+  @Test
+  void requestWithAnUnnoticedRestIsAnsweredBeforeTheShutdownClosesItsConnection() throws Exception {
+    connectAll();
+    sendCallWithUnnoticedRest();
+    drain();
+    awaitEventLoop();
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+  }
+
+  /** Guards against a request lost whose last bytes arrived in time and were not read in time. */
+  @Test
+  void requestWhoseRestIsReadAfterTheFrameTimeoutIsAnswered() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    sendCallWithUnnoticedRest();
+    spinUntilAfter(eventLoop.now().plus(FrameTimeout.LIMIT).plus(WAIT));
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+  }
+}
--- a/router/src/test/java/tamarindroute/gateway/WireConnection.java
+++ b/router/src/test/java/tamarindroute/gateway/WireConnection.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import tamarindroute.protocol.FieldList;
 import tamarindroute.protocol.RespReader;
 import tamarindroute.protocol.RespWriter;
@@ -61,10 +62,14 @@
   }
 
   void sendWithBody(String body, String... arguments) throws IOException {
+    socket.getOutputStream().write(frameWithBody(body, arguments));
+  }
+
+  private static byte[] frameWithBody(String body, String... arguments) {
     String header =
         new String(
             RespWriter.frameHeader(body.length(), arguments).array(), StandardCharsets.UTF_8);
-    socket.getOutputStream().write((header + body + "\r\n").getBytes(StandardCharsets.UTF_8));
+    return (header + body + "\r\n").getBytes(StandardCharsets.UTF_8);
   }
 
   /** Sends a call of an idempotent class, as a client. */
@@ -74,13 +79,35 @@
 
   /** Sends a call with an idempotency key, as a client. */
   void call(String tag, String requestClass, int budgetMillis) throws IOException {
+    socket.getOutputStream().write(callFrame(tag, requestClass, budgetMillis));
+  }
+
+  /** The frame of a call of an idempotent class. */
+  static byte[] callFrame(String tag, int budgetMillis) {
+    return callFrame(tag, "clip", budgetMillis);
+  }
+
+  private static byte[] callFrame(String tag, String requestClass, int budgetMillis) {
     FieldList fields =
         new FieldList()
             .with("rid", requestId(tag))
             .with("obj", OBJECT_ID)
             .with("budget", budgetMillis)
             .with("token", IDEMPOTENCY_KEY);
-    sendWithBody("body", "RPC.CALL", tag, requestClass, fields.format("-"));
+    return frameWithBody("body", "RPC.CALL", tag, requestClass, fields.format("-"));
+  }
+
+  /** Sends the bytes of a frame from one offset to another. */
+  void sendPart(byte[] frame, int from, int to) throws IOException {
+    socket.getOutputStream().write(frame, from, to - from);
+  }
+
+  /** Sends the beginning of a call whose body is longer than these bytes. */
+  void sendBodyStart(int bytes) throws IOException {
+    byte[] header =
+        RespWriter.frameHeader(2 * bytes, "RPC.CALL", "1", "clip", "rid=" + requestId("1")).array();
+    byte[] start = Arrays.copyOf(header, bytes);
+    socket.getOutputStream().write(start);
   }
 
   /** Serves the request of this tag, as its cache. */
