Count a request's time from when it arrived, not from when it was read

Cause: ReadAdmission.handOver took the time of the read, from which AdmissionControl sets the deadline. What a connection had waited for its turn, for buffers or for the selector came on top.

Change: UnreadInput keeps the latest time at which a connection is known to have had no unread bytes, by reads that did not fill their buffer and by the rounds of the selector that did not report it (SelectRounds); bytes from clients count from it. A request whose time has ended unread is rejected without an attempt (topic request-expired).

Result: four tests of UnreadRequestTest fail on the code before (arrival 300 ms late) and pass; two more guard against counting too early.

--- a/net/src/main/java/tamarindroute/net/Connection.java
+++ b/net/src/main/java/tamarindroute/net/Connection.java
@@ -89,7 +89,11 @@
     return session == null ? null : (InetSocketAddress) session.getRemoteAddress();
   }
 
-  /** When the bytes that the handler is being given were received, by the scheduler's clock. */
+  /**
+   * When the bytes that the handler is being given were received, by the scheduler's clock: from a
+   * client when they arrived, however long they waited to be read, or a little earlier; from others
+   * when they were read.
+   */
   public Duration receivedAt() {
     return inbound.receivedAt();
   }
--- a/net/src/main/java/tamarindroute/net/ReadAdmission.java
+++ b/net/src/main/java/tamarindroute/net/ReadAdmission.java
@@ -97,8 +97,7 @@
 
   /** On MINA's thread: hands received bytes over to the event loop. */
   void handOver(Connection connection, IoSession session, IoBuffer bytes) {
-    Duration receivedAt = scheduler.now();
-    connection.inbound().unread().onRead(bytes.limit() < bytes.capacity());
+    Duration receivedAt = receivedAt(connection, bytes);
     connection.inbound().beforeHandOver(session);
     if (connection.isFromClient()) {
       clientReads.onHandOver(bytes.remaining());
@@ -108,6 +107,14 @@
     scheduler.execute(() -> takeUp(connection, bytes, receivedAt));
   }
 
+  /** The protocol counts a client's time from its last byte, also while that waits to be read. */
+  private Duration receivedAt(Connection connection, IoBuffer bytes) {
+    boolean drained = bytes.limit() < bytes.capacity();
+    long arrivedAfterNanos = connection.inbound().unread().onRead(drained);
+    Duration now = scheduler.now();
+    return connection.isFromClient() ? now.minusNanos(System.nanoTime() - arrivedAfterNanos) : now;
+  }
+
   private void takeUp(Connection connection, IoBuffer bytes, Duration receivedAt) {
     if (connection.isFromClient()) {
       clientReads.onTakenUp(bytes.remaining());
--- a/net/src/main/java/tamarindroute/net/SelectRounds.java
+++ b/net/src/main/java/tamarindroute/net/SelectRounds.java
@@ -6,8 +6,11 @@
  */
 final class SelectRounds {
 
-  /** A call of select that takes longer has waited: nothing was ready when it began. */
-  private static final long WAITED_NANOS = 1_000_000;
+  /**
+   * A call of select that takes longer has waited: nothing was ready when it began. More than a
+   * thread is usually kept off its core.
+   */
+  private static final long WAITED_NANOS = 10_000_000;
 
   private int number;
   private boolean waited;
--- a/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
+++ b/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
@@ -128,6 +128,11 @@
       reject(client, received);
       return false;
     }
+    if (pending.timeLeft(eventLoop.now()).compareTo(Duration.ZERO) <= 0) {
+      Log.info("request-expired", "call rejected: its time had ended before it was read");
+      reject(client, received);
+      return true;
+    }
     start(pending);
     return true;
   }
--- a/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
+++ b/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
@@ -5,14 +5,16 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import tamarindroute.decision.Decision;
+import tamarindroute.decision.Request;
 
 /**
  * Requests that a client has sent whole and the gateway has not read yet, when their connection is
- * to be ended.
+ * to be ended or their time runs.
  */
 @Timeout(30)
 class UnreadRequestTest extends PipelineHarness {
@@ -23,6 +25,9 @@
   private static final int BUDGET_MILLIS = 3000;
   private static final Duration WAIT = Duration.ofMillis(300);
 
+  /** What each time limit is granted on sockets. */
+  private static final Duration SLACK = Duration.ofMillis(50);
+
   /** Four clients with four reads of 4 KB each take all that may wait for the event loop. */
   private static final int FILLING_CLIENTS = 4;
 
@@ -67,13 +72,17 @@
 
   /** The first half of the call is read; MINA's thread is held when the second half comes. */
   private void sendCallWithUnnoticedRest() throws Exception {
-    byte[] call = WireConnection.callFrame("1", BUDGET_MILLIS);
+    byte[] call = WireConnection.callFrame("1", BUDGET_MILLIS, READ_BYTES);
     scheduler.forgetHandOvers();
-    firstClient().sendPart(call, 0, call.length / 2);
+    firstClient().send(Arrays.copyOf(call, call.length / 2));
     awaitHandOver();
     awaitEventLoop();
     scheduler.holdSelector(lastClient());
-    firstClient().sendPart(call, call.length / 2, call.length);
+    firstClient().send(Arrays.copyOfRange(call, call.length / 2, call.length));
+  }
+
+  private Request firstRouted() throws Exception {
+    return onEventLoop(() -> policy.routedRequests.get(0));
   }
 
   private void awaitEventLoop() throws Exception {
@@ -168,4 +177,87 @@
     scheduler.release();
     assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
   }
+
+  /** Guards against an answer as late as its request was read, with the connection in the queue. */
+  @Test
+  void timeOfARequestRunsWhileItsConnectionWaitsToBeRead() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    fillReads();
+    firstClient().call("1", BUDGET_MILLIS);
+    awaitHandOver();
+    Duration writtenAt = eventLoop.now();
+    spinUntilAfter(writtenAt.plus(WAIT));
+    hold.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstRouted().arrivalTime).isLessThanOrEqualTo(writtenAt);
+  }
+
+  /** Guards against an answer as late as its request was noticed. */
+  @Test
+  void timeOfARequestRunsWhileTheSelectorIsBusy() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    scheduler.holdSelector(lastClient());
+    firstClient().call("1", BUDGET_MILLIS);
+    Duration writtenAt = eventLoop.now();
+    spinUntilAfter(writtenAt.plus(WAIT));
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstRouted().arrivalTime).isLessThanOrEqualTo(writtenAt);
+  }
+
+  /** Guards against time that is counted anew with each of the reads that a request takes. */
+  @Test
+  void timeOfALargeRequestRunsWhileItsRestWaitsToBeRead() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    firstClient().send(WireConnection.callFrame("1", BUDGET_MILLIS, 10 * READ_BYTES));
+    Duration writtenAt = eventLoop.now();
+    spinUntilAfter(writtenAt.plus(WAIT));
+    hold.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstRouted().arrivalTime).isLessThanOrEqualTo(writtenAt);
+  }
+
+  /** Guards against time that is counted from an earlier request which filled its read. */
+  @Test
+  void timeOfARequestBeginsWhenItArrivesThoughTheReadBeforeWasFull() throws Exception {
+    connectAll();
+    willRejectAll(2);
+    firstClient().send(WireConnection.callFrame("1", BUDGET_MILLIS, READ_BYTES));
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    spinUntilAfter(eventLoop.now().plus(WAIT));
+    Duration writtenAfter = eventLoop.now();
+    firstClient().call("2", BUDGET_MILLIS);
+    assertThat(firstClient().readFrame()).isEqualTo("2 NAK");
+    assertThat(onEventLoop(() -> policy.routedRequests.get(1)).arrivalTime)
+        .isGreaterThan(writtenAfter.minus(SLACK));
+  }
+
+  /** Guards against time that is counted from an earlier request of the same connection. */
+  @Test
+  void timeOfARequestBeginsWhenItArrives() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    spinUntilAfter(eventLoop.now().plus(WAIT));
+    Duration writtenAfter = eventLoop.now();
+    firstClient().call("1", BUDGET_MILLIS);
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstRouted().arrivalTime).isGreaterThan(writtenAfter.minus(SLACK));
+  }
+
+  /** Guards against an attempt for a client whose time ended while its request waited. */
+  @Test
+  void requestWhoseTimeEndedUnreadIsRejectedWithoutAnAttempt() throws Exception {
+    connectAll();
+    scheduler.holdSelector(lastClient());
+    firstClient().call("1", (int) WAIT.toMillis());
+    spinUntilAfter(eventLoop.now().plus(WAIT));
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(onEventLoop(() -> policy.routedRequests.size())).isZero();
+  }
 }
--- a/router/src/test/java/tamarindroute/gateway/WireConnection.java
+++ b/router/src/test/java/tamarindroute/gateway/WireConnection.java
@@ -79,27 +79,31 @@
 
   /** Sends a call with an idempotency key, as a client. */
   void call(String tag, String requestClass, int budgetMillis) throws IOException {
-    socket.getOutputStream().write(callFrame(tag, requestClass, budgetMillis));
+    send(callFrame(tag, requestClass, budgetMillis, "body"));
   }
 
-  /** The frame of a call of an idempotent class. */
-  static byte[] callFrame(String tag, int budgetMillis) {
-    return callFrame(tag, "clip", budgetMillis);
+  /** The frame of a call of an idempotent class, of this length in bytes. */
+  static byte[] callFrame(String tag, int budgetMillis, int length) {
+    String body = "x".repeat(length);
+    int excess = callFrame(tag, "clip", budgetMillis, body).length - length;
+    byte[] frame = callFrame(tag, "clip", budgetMillis, body.substring(excess));
+    assertThat(frame).hasSize(length);
+    return frame;
   }
 
-  private static byte[] callFrame(String tag, String requestClass, int budgetMillis) {
+  private static byte[] callFrame(String tag, String requestClass, int budgetMillis, String body) {
     FieldList fields =
         new FieldList()
             .with("rid", requestId(tag))
             .with("obj", OBJECT_ID)
             .with("budget", budgetMillis)
             .with("token", IDEMPOTENCY_KEY);
-    return frameWithBody("body", "RPC.CALL", tag, requestClass, fields.format("-"));
+    return frameWithBody(body, "RPC.CALL", tag, requestClass, fields.format("-"));
   }
 
-  /** Sends the bytes of a frame from one offset to another. */
-  void sendPart(byte[] frame, int from, int to) throws IOException {
-    socket.getOutputStream().write(frame, from, to - from);
+  /** Sends bytes as they are. */
+  void send(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
   }
 
   /** Sends the beginning of a call whose body is longer than these bytes. */
