Cut off no closing connection whose response is still being sent

Callers would see: where more than eight client connections close at once, the oldest's stream ends in the middle of its response.

Cause: ClientConnections.onLingering closed the oldest lingering connection at once, whether or not all was sent.

Change: the first that has sent all is cut off; the others are kept for the 3 s that LingeringClose gives them, and count as clients beyond eight, so that no more descriptors are used.

Result: the new test of ConnectionCloseTest fails before and passes; ConnectionCloseTest 7 run, none failed.

--- a/net/src/main/java/tamarindroute/net/ClientConnections.java
+++ b/net/src/main/java/tamarindroute/net/ClientConnections.java
@@ -23,9 +23,9 @@
   private static final int ACCEPT_OVERSHOOT = SocketTransport.RESERVED_DESCRIPTORS / 2;
 
   /**
-   * Closed connections that wait for their clients to close; the first of them is cut off for one
-   * more. They use the clients' descriptors, of which there are more than the third of all that the
-   * platform grants to clients, if there are 256 or more.
+   * Closed connections that wait for their clients to close; the first of them that has sent all is
+   * cut off for one more. They use the clients' descriptors, of which there are more than the third
+   * of all that the platform grants to clients, if there are 256 or more.
    */
   private static final int MAX_LINGERING = 8;
 
@@ -127,9 +127,10 @@
   }
 
   private int limitWithLingering() {
+    int lingeringShare = Math.max(MAX_LINGERING, lingering.size());
     return Math.min(
         maxClients,
-        Math.max(SocketTransport.MIN_DESCRIPTORS_PER_SIDE, maxByDescriptors - MAX_LINGERING));
+        Math.max(SocketTransport.MIN_DESCRIPTORS_PER_SIDE, maxByDescriptors - lingeringShare));
   }
 
   /** Has idle connections closed until so many are left; false if too many are in use. */
@@ -180,16 +181,25 @@
     reduceToLimit();
   }
 
-  /** A client's connection lingers. At the end, when no others come, any number may. */
+  /**
+   * A client's connection lingers. At the end, when no others come, any number may, and so may any
+   * that still sends a response, which takes a bounded time.
+   */
   void onLingering(Connection connection) {
     lingering.add(connection);
     if (lingering.size() > MAX_LINGERING && !draining) {
-      Connection oldest = lingering.iterator().next();
-      lingering.remove(oldest);
-      oldest.closeNow();
+      lingering.stream()
+          .filter(waiting -> waiting.unsentBytes() == 0)
+          .findFirst()
+          .ifPresent(this::cutOff);
     }
   }
 
+  private void cutOff(Connection connection) {
+    lingering.remove(connection);
+    connection.closeNow();
+  }
+
   /** The connection has ended for its handler; its session may linger. */
   void onConnectionClosed(Connection connection) {
     clients.remove(connection);
--- a/net/src/test/java/tamarindroute/net/ConnectionCloseTest.java
+++ b/net/src/test/java/tamarindroute/net/ConnectionCloseTest.java
@@ -172,6 +172,27 @@
     }
   }
 
+  /** Guards against responses cut off on the oldest of many connections that close at once. */
+  @Test
+  void responsesArriveThoughMoreConnectionsCloseThanMayLinger() throws Exception {
+    byte[] response = new byte[LARGE_RESPONSE_BYTES];
+    onBytes =
+        (connection, bytes) -> {
+          connection.write(response);
+          connection.close(CloseReason.CLOSED_LOCALLY, true);
+        };
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      clients.add(client());
+      clients.get(i).getOutputStream().write(1);
+    }
+    for (Socket client : clients) {
+      assertThat(client.getInputStream().readNBytes(LARGE_RESPONSE_BYTES))
+          .hasSize(LARGE_RESPONSE_BYTES);
+      client.close();
+    }
+  }
+
   /** A close would lose small writes that the operating system still holds back. */
   @Test
   void acceptedConnectionsDisableNagle() throws Exception {
