Refuse a client without reading from it where all connections are in use

Callers would see: a new client's first request read, and its connection closed without an answer. Found on the related paths of the closes over unread requests.

Cause: MINA's thread read a connection before the event loop had admitted it, and a refused one lingered, reading and discarding.

Change: ReadAdmission reads no client that the event loop has not admitted; a refused one is closed at once. Also: a silent connection with unsent bytes is ended for its 30 s of silence only while no request is open on it, and connections that close at a shutdown do not count against new ones.

--- a/net/src/main/java/tamarindroute/net/ClientConnections.java
+++ b/net/src/main/java/tamarindroute/net/ClientConnections.java
@@ -105,8 +105,8 @@
   /**
    * Admits a client. At the limit the connection that has been idle for longest is closed for it:
    * otherwise clients that send one request and stay, or none, would shut out all others. The new
-   * connection is closed only if all are in use. Until MINA's thread has confirmed that the idle
-   * connection has no unread bytes either, both are open.
+   * connection is closed only if all are in use, without reading from it. Until MINA's thread has
+   * confirmed that the idle connection has no unread bytes either, both are open.
    */
   void admit(Connection connection, IoSession session) {
     if (!session.isConnected()) {
@@ -114,8 +114,7 @@
     }
     if (!reduceTo(limitWithLingering() - 1)) {
       logAtCapacity("all in use: a new one closed");
-      connection.onSessionOpened(session);
-      connection.close(CloseReason.CLOSED_LOCALLY, true);
+      session.closeNow();
       return;
     }
     clients.add(connection);
@@ -127,7 +126,7 @@
   }
 
   private int limitWithLingering() {
-    int lingeringShare = Math.max(MAX_LINGERING, lingering.size());
+    int lingeringShare = draining ? MAX_LINGERING : Math.max(MAX_LINGERING, lingering.size());
     return Math.min(
         maxClients,
         Math.max(SocketTransport.MIN_DESCRIPTORS_PER_SIDE, maxByDescriptors - lingeringShare));
--- a/net/src/main/java/tamarindroute/net/ReadAdmission.java
+++ b/net/src/main/java/tamarindroute/net/ReadAdmission.java
@@ -59,7 +59,7 @@
   }
 
   private boolean admits(Connection connection, IoSession session, boolean granted) {
-    if (!hasRoomFor(connection)) {
+    if (!hasRoomFor(connection) || isUndecidedClient(connection)) {
       return defer(connection, session);
     }
     if (connection.isFromClient()) {
@@ -68,6 +68,11 @@
     return waitingReads.get() < maxWaitingReads || defer(connection, session);
   }
 
+  /** Whether the event loop may still refuse the client, which is then not to be read at all. */
+  private static boolean isUndecidedClient(Connection connection) {
+    return connection.isFromClient() && connection.session() == null;
+  }
+
   private boolean hasRoomFor(Connection connection) {
     return !bufferPool.isExhausted() || connection.inbound().mayReadWhenExhausted();
   }
--- a/router/src/main/java/tamarindroute/gateway/ClientConnection.java
+++ b/router/src/main/java/tamarindroute/gateway/ClientConnection.java
@@ -224,9 +224,12 @@
 
   @Override
   public void onIdle() {
-    // A client that has taken nothing for so long will not.
-    inputFinished |= connection.unsentBytes() > 0;
-    closeIfNothingPending();
+    if (pendingByTag.isEmpty() && connection.unsentBytes() > 0) {
+      // A client that has taken nothing for so long will not.
+      connection.close(CloseReason.CLOSED_LOCALLY, true);
+    } else {
+      closeIfNothingPending();
+    }
   }
 
   /**
--- a/router/src/test/java/tamarindroute/gateway/HoldableScheduler.java
+++ b/router/src/test/java/tamarindroute/gateway/HoldableScheduler.java
@@ -61,6 +61,13 @@
     assertThat(handOvers.tryAcquire(5, TimeUnit.SECONDS)).as("handed over").isTrue();
   }
 
+  /** Asserts that MINA's thread hands over no further task in this time. */
+  void assertNoHandOver(Duration time) throws Exception {
+    assertThat(handOvers.tryAcquire(time.toMillis(), TimeUnit.MILLISECONDS))
+        .as("handed over")
+        .isFalse();
+  }
+
   /**
    * Holds MINA's thread until {@link #release}.
    *
--- a/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
+++ b/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
@@ -125,6 +125,26 @@
     }
   }
 
+  /** Guards against a request that is read and then given up where no connection can be closed. */
+  @Test
+  void newClientThatIsRefusedIsNotRead() throws Exception {
+    connectAll();
+    willRejectAll(MAX_CLIENTS);
+    EventLoopHold hold = new EventLoopHold().awaitHeld();
+    WireConnection newClient = connectSilentClient();
+    awaitHandOver();
+    for (int i = 0; i < MAX_CLIENTS; i++) {
+      clients.get(i).call(String.valueOf(i + 1), BUDGET_MILLIS);
+      awaitHandOver();
+    }
+    // Each of several reads would be handed over; only the question whether to read is.
+    newClient.sendBodyStart(READS_OF_A_CLIENT * READ_BYTES);
+    awaitHandOver();
+    scheduler.assertNoHandOver(WAIT);
+    hold.release();
+    assertThat(newClient.readFrame()).isEqualTo(WireConnection.END);
+  }
+
   /** Guards against a request lost that the selector has not noticed. */
   @Test
   void connectionWithAnUnnoticedRequestIsNotClosedForANewOne() throws Exception {
