Use a connection for each attempt where two at once are forbidden

Cause: lookup and fill have one id and shared a connection, so the copy passed for the fill's end. UsedConnections left idempotent requests out, as repeating them does no harm; two at once are forbidden there all the same.

Change: AdmissionControl.needsConnectionPerAttempt also holds where the settings forbid two attempts at once.

Result: two tests of DuplicateResponseTest fail with the change taken back and pass; gateway 64 tests run, none failed.

--- a/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
+++ b/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
@@ -45,6 +45,7 @@
   /** Request classes by their normalized names. */
   private final Map<String, RequestClass> requestClasses;
 
+  private final boolean hedgingAllowed;
   private final int maxInFlight;
   private final double maxBudgetMillis;
   private final Map<String, PendingRequest> pendingById = new HashMap<>();
@@ -60,6 +61,7 @@
     this.router = router;
     this.outcomeHandler = outcomeHandler;
     this.requestClasses = settings.requestClassesByName();
+    this.hedgingAllowed = settings.hedgingAllowed();
     this.maxInFlight = (int) Math.min(settings.maxInFlight(), maxInFlightByHeap());
     this.maxBudgetMillis = MAX_BUDGET_MULTIPLE * settings.longestDeadline().toMillis();
   }
@@ -202,7 +204,16 @@
             fields.kilobytes(),
             arrivalTime,
             arrivalTime.plus(budget));
-    return new PendingRequest(client, received, fields, request);
+    return new PendingRequest(
+        client, received, fields, request, needsConnectionPerAttempt(requestClass));
+  }
+
+  /**
+   * Whether it does harm if a second response to one attempt passes for the response to the next:
+   * the next one would be repeated while it runs.
+   */
+  private boolean needsConnectionPerAttempt(RequestClass requestClass) {
+    return !hedgingAllowed || requestClass.idempotency() != RequestClass.Idempotency.IDEMPOTENT;
   }
 
   /**
--- a/router/src/main/java/tamarindroute/gateway/PendingRequest.java
+++ b/router/src/main/java/tamarindroute/gateway/PendingRequest.java
@@ -7,7 +7,6 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import tamarindroute.decision.Attempt;
 import tamarindroute.decision.Request;
-import tamarindroute.decision.RequestClass;
 import tamarindroute.net.UsedConnections;
 import tamarindroute.protocol.CallFields;
 
@@ -27,6 +26,7 @@
   final Request request;
   final int bodyLength;
 
+  private final boolean connectionPerAttempt;
   private final ArrayDeque<IoBuffer> body;
   private final List<AttemptSender.InFlightAttempt> inFlight = new ArrayList<>(2);
   private Runnable cancelDecisionTimer = () -> {};
@@ -38,11 +38,17 @@
   /** Set for the first attempt. */
   private UsedConnections usedConnections;
 
+  /**
+   * Creates an open request.
+   *
+   * @param connectionPerAttempt whether each attempt needs a connection that no other one had
+   */
   PendingRequest(
       ClientConnection client,
       ClientConnection.ReceivedCall received,
       CallFields fields,
-      Request request) {
+      Request request,
+      boolean connectionPerAttempt) {
     this.client = client;
     this.tag = received.call().tag();
     this.requestClassName = received.call().requestClass();
@@ -50,6 +56,7 @@
     this.bodyLength = received.bodyLength();
     this.fields = fields;
     this.request = request;
+    this.connectionPerAttempt = connectionPerAttempt;
   }
 
   /** Returns the request id that the client chose, unique among the requests in flight. */
@@ -121,15 +128,13 @@
   }
 
   /**
-   * Returns the connections that attempts of this request have used. They count only where another
-   * execution may do harm: a doubled refusal must not prove that an attempt which runs never ran.
+   * Returns the connections that attempts of this request have used. They count only where a second
+   * response that passes for the next attempt's would do harm.
    */
   UsedConnections usedConnections() {
     if (usedConnections == null) {
       usedConnections =
-          request.requestClass.idempotency() == RequestClass.Idempotency.IDEMPOTENT
-              ? UsedConnections.untracked()
-              : UsedConnections.tracked();
+          connectionPerAttempt ? UsedConnections.tracked() : UsedConnections.untracked();
     }
     return usedConnections;
   }
--- a/router/src/main/java/tamarindroute/settings/SettingsReader.java
+++ b/router/src/main/java/tamarindroute/settings/SettingsReader.java
@@ -145,6 +145,11 @@
     return values.integer(SettingsKeys.MAX_IN_FLIGHT, Integer.MAX_VALUE);
   }
 
+  /** Whether two attempts of one request may be in flight at once. */
+  public boolean hedgingAllowed() throws MalformedSettingsException {
+    return values.flag(SettingsKeys.HEDGING_ALLOWED);
+  }
+
   /** Most requests that one connection to a cache carries. */
   public int maxRequestsPerConnection() throws MalformedSettingsException {
     return values.integer(SettingsKeys.MAX_REQUESTS_PER_CONNECTION, Integer.MAX_VALUE);
--- a/router/src/test/java/tamarindroute/gateway/AttemptSenderTest.java
+++ b/router/src/test/java/tamarindroute/gateway/AttemptSenderTest.java
@@ -68,7 +68,7 @@
             new ClientCommand.Call("1", "clip", ""), new ArrayDeque<>(), 0, false);
     CallFields fields =
         new CallFields("9b1f03aa5c7e2d41", "7f3a9c21e0b4d655", null, clientCopyTag, 2000, 0, 17, 1);
-    PendingRequest pending = new PendingRequest(null, received, fields, request);
+    PendingRequest pending = new PendingRequest(null, received, fields, request, false);
     Cache cache = policy.caches.get(0);
     Attempt attempt = new Attempt(cache, cache, 1, maxCopyAge, false, false, null);
     attempt.sentAt = eventLoop.now();
--- a/router/src/test/java/tamarindroute/gateway/DuplicateResponseTest.java
+++ b/router/src/test/java/tamarindroute/gateway/DuplicateResponseTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -35,7 +36,7 @@
    * ran: the request would be sent and executed again.
    */
   @ParameterizedTest
-  @ValueSource(strings = {"once", "pick"})
+  @ValueSource(strings = {"once", "pick", "clip"})
   void aLateCopyOfARefusalIsNotTakenForTheNextAttemptsResponse(String requestClass)
       throws Exception {
     start();
@@ -57,4 +58,30 @@
     client.assertFramesAre("1 ACK");
     assertNothingLeft(Result.REJECTED, Result.SERVED);
   }
+
+  /**
+   * Guards against a second copy of a miss that ends the fill: another fill would be sent while it
+   * runs, where only one attempt may be in flight.
+   */
+  @Test
+  void aLateCopyOfAMissIsNotTakenForTheFillsEnd() throws Exception {
+    start();
+    WireConnection client = connectClient();
+    willDecide(request -> attempt("s-1"), request -> attempt("s-1"), request -> attempt("s-1"));
+    client.call("1", BUDGET_MILLIS);
+    WireConnection lookup = accept(firstCache);
+    assertThat(lookup.readFrame()).isEqualTo(FRAME);
+    lookup.respond("1", "NOENT");
+    WireConnection fill = acceptNext(lookup);
+    assertThat(fill.readFrame()).isEqualTo(FRAME);
+    new EventLoopHold().awaitHeld().release();
+    lookup.respond("1", "NOENT");
+    awaitHandOver();
+    assertThat(onEventLoop(() -> List.copyOf(policy.outcomes)))
+        .extracting(Outcome::result)
+        .containsExactly(Result.MISS);
+    fill.respond("1");
+    client.assertFramesAre("1 ACK");
+    assertNothingLeft(Result.MISS, Result.SERVED);
+  }
 }
--- a/router/src/test/java/tamarindroute/gateway/RouterTest.java
+++ b/router/src/test/java/tamarindroute/gateway/RouterTest.java
@@ -39,7 +39,8 @@
             new ClientConnection.ReceivedCall(
                 new ClientCommand.Call("1", "clip", ""), new ArrayDeque<>(), 0, false),
             new CallFields("1", "1", null, null, 9000, 0, 0, 0),
-            new Request(null, 1, 0, 0, 0, Duration.ZERO, Duration.ofSeconds(9)));
+            new Request(null, 1, 0, 0, 0, Duration.ZERO, Duration.ofSeconds(9)),
+            false);
     pending.stopAttempts();
     // The router has no sender here, so sending an attempt would throw an exception.
     new Router(policy, new EventLoop()).route(pending);
