Let the warm-up's attempts share connections where two at once are forbidden

Its stand-in caches never respond twice, so its attempts share connections again.

Whether the red test fails each time without it was not run.

--- a/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
+++ b/router/src/main/java/tamarindroute/gateway/AdmissionControl.java
@@ -45,7 +45,7 @@
   /** Request classes by their normalized names. */
   private final Map<String, RequestClass> requestClasses;
 
-  private final boolean hedgingAllowed;
+  private final boolean sharesConnections;
   private final int maxInFlight;
   private final double maxBudgetMillis;
   private final Map<String, PendingRequest> pendingById = new HashMap<>();
@@ -54,14 +54,24 @@
   private boolean ready;
   private boolean draining;
 
+  /**
+   * Creates a stage without requests.
+   *
+   * @param sharesConnections whether attempts of an idempotent request share connections though
+   *     only one may be in flight, since no cache responds twice
+   */
   AdmissionControl(
-      SettingsReader settings, EventLoop eventLoop, Router router, OutcomeHandler outcomeHandler)
+      SettingsReader settings,
+      EventLoop eventLoop,
+      Router router,
+      OutcomeHandler outcomeHandler,
+      boolean sharesConnections)
       throws MalformedSettingsException {
     this.eventLoop = eventLoop;
     this.router = router;
     this.outcomeHandler = outcomeHandler;
     this.requestClasses = settings.requestClassesByName();
-    this.hedgingAllowed = settings.hedgingAllowed();
+    this.sharesConnections = sharesConnections || settings.hedgingAllowed();
     this.maxInFlight = (int) Math.min(settings.maxInFlight(), maxInFlightByHeap());
     this.maxBudgetMillis = MAX_BUDGET_MULTIPLE * settings.longestDeadline().toMillis();
   }
@@ -213,7 +223,7 @@
    * the next one would be repeated while it runs.
    */
   private boolean needsConnectionPerAttempt(RequestClass requestClass) {
-    return !hedgingAllowed || requestClass.idempotency() != RequestClass.Idempotency.IDEMPOTENT;
+    return !sharesConnections || requestClass.idempotency() != RequestClass.Idempotency.IDEMPOTENT;
   }
 
   /**
--- a/router/src/main/java/tamarindroute/gateway/GatewayServer.java
+++ b/router/src/main/java/tamarindroute/gateway/GatewayServer.java
@@ -71,7 +71,7 @@
     this.eventLoop = new EventLoop();
     RoutingPolicy policy = newPolicy(policyFactory);
     instance = new RouterInstance(configuration, eventLoop, List.of(policy));
-    pipeline = newPipeline(policy, instance.endpoints());
+    pipeline = newPipeline(policy, instance.endpoints(), false);
     warmUp =
         new WarmUp(
             eventLoop,
@@ -89,10 +89,15 @@
     return policyFactory.apply(configuration.settings().settings(configuration.seed()));
   }
 
-  private RequestPipeline newPipeline(RoutingPolicy policy, EndpointRegistry endpoints)
-      throws IOException {
+  private RequestPipeline newPipeline(
+      RoutingPolicy policy, EndpointRegistry endpoints, boolean standInCaches) throws IOException {
     return new RequestPipeline(
-        configuration.settings(), policy, eventLoop, instance.bufferPool(), endpoints);
+        configuration.settings(),
+        policy,
+        eventLoop,
+        instance.bufferPool(),
+        endpoints,
+        standInCaches);
   }
 
   /**
@@ -108,7 +113,7 @@
             List.of(policy),
             eventLoop,
             (id, address) -> instance.newConnectionPool(id, configuration.listen()));
-    return newPipeline(policy, endpoints);
+    return newPipeline(policy, endpoints, true);
   }
 
   /**
--- a/router/src/main/java/tamarindroute/gateway/RequestPipeline.java
+++ b/router/src/main/java/tamarindroute/gateway/RequestPipeline.java
@@ -24,13 +24,29 @@
       BufferPool bufferPool,
       EndpointRegistry endpoints)
       throws MalformedSettingsException {
+    this(settings, policy, eventLoop, bufferPool, endpoints, false);
+  }
+
+  /**
+   * Creates a pipeline.
+   *
+   * @param standInCaches whether the caches are this gateway's own, which never respond twice
+   */
+  RequestPipeline(
+      SettingsReader settings,
+      RoutingPolicy policy,
+      EventLoop eventLoop,
+      BufferPool bufferPool,
+      EndpointRegistry endpoints,
+      boolean standInCaches)
+      throws MalformedSettingsException {
     this.bufferPool = bufferPool;
     this.eventLoop = eventLoop;
     this.endpoints = endpoints;
     relay = new ResponseRelay(bufferPool, eventLoop);
     Router router = new Router(policy, eventLoop);
     OutcomeHandler outcomeHandler = new OutcomeHandler(eventLoop, policy, router);
-    admission = new AdmissionControl(settings, eventLoop, router, outcomeHandler);
+    admission = new AdmissionControl(settings, eventLoop, router, outcomeHandler, standInCaches);
     outcomeHandler.connect(admission);
     router.connect(
         new AttemptSender(eventLoop, policy, endpoints, outcomeHandler, relay), outcomeHandler);
