Decide on closes before the selector is asked, so that no turn to be read goes unused

Cause: the last read before a close came between the selector's report and its processing. It took the bytes of a connection that was reported already; processed as readable, that was queued for a turn with nothing to read, never used its turn, and counted as unread for ever. Such turns used up all places of reads that wait (26 with 32 MB, computed), and no client that had to wait was read; nor was such a connection closed at SIGTERM.

Change: SelectorProcessor.select applies the changes, the decisions on closes among them, before it asks the selector; nothing is read between the report and its processing. A change that comes later wakes the selector, as before.

--- a/net/src/main/java/tamarindroute/net/SelectorProcessor.java
+++ b/net/src/main/java/tamarindroute/net/SelectorProcessor.java
@@ -70,18 +70,27 @@
     }
   }
 
+  /**
+   * Applies the changes before the selector is asked, since the last read before a close may empty
+   * a connection: reported as readable before that, it would wait for a turn that it never takes.
+   */
   @Override
   protected int select(long timeout) throws Exception {
+    applyChanges();
     long startedAtNanos = System.nanoTime();
     int selected = super.select(timeout);
     rounds.onSelected(startedAtNanos);
+    return selected;
+  }
+
+  /** A change that is added later wakes the selector, and is applied before its next round. */
+  private void applyChanges() {
     for (NioSession next = changedSessions.poll(); next != null; next = changedSessions.poll()) {
       updateInterest(next);
       if (Connection.of(next).inputDiscarder().claimOutputShutdown() || confirmsClose(next)) {
         shutDownOutput(next);
       }
     }
-    return selected;
   }
 
   private void updateInterest(NioSession session) {
--- a/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
+++ b/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
@@ -181,6 +181,31 @@
     newClient.assertFramesAre();
   }
 
+  /**
+   * Guards against a connection that waits to be read for ever, and holds up all others that do:
+   * the selector reports bytes that the last read before a close has read already.
+   */
+  @Test
+  void connectionWhoseBytesTheLastReadFoundDoesNotWaitToBeReadAgain() throws Exception {
+    connectAll();
+    willRejectAll(1);
+    EventLoopHold beforeEviction = new EventLoopHold().awaitHeld();
+    connectSilentClient();
+    awaitHandOver();
+    EventLoopHold beforeReads = new EventLoopHold();
+    fillReads();
+    scheduler.holdSelector(lastClient());
+    firstClient().call("1", BUDGET_MILLIS);
+    beforeEviction.release();
+    beforeReads.awaitStarted();
+    scheduler.release();
+    spinUntilAfter(eventLoop.now().plus(WAIT));
+    beforeReads.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    drain();
+    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+  }
+
   /** Guards against a request lost at SIGTERM while it waits to be read. */
   @Test
   void unnoticedRequestIsAnsweredBeforeTheShutdownClosesItsConnection() throws Exception {
