Keep the interest in writes when reads are suspended, so that no response stops half-way

Callers would see: a response stops half-way, until something else is written to its connection, if reads of the connection are suspended or resumed while its client takes nothing.

Cause: MINA sets the interests in reads and writes together, and takes a session with an empty queue of writes for one with nothing to write, though the last buffer is half sent.

Change: SelectorProcessor.updateInterest sets the interest in reads alone; that in writes is kept by MINA's own writing.

--- a/net/src/main/java/tamarindroute/net/SelectorProcessor.java
+++ b/net/src/main/java/tamarindroute/net/SelectorProcessor.java
@@ -93,9 +93,17 @@
     }
   }
 
+  /**
+   * Sets the interest in reads alone. MINA would set that in writes, too, by whether writes are
+   * queued, and stop a response of which a part was written and nothing is queued any more.
+   */
   private void updateInterest(NioSession session) {
     boolean wasWatched = isInterestedInRead(session);
-    super.updateTrafficControl(session);
+    try {
+      setInterestedInRead(session, !session.isReadSuspended());
+    } catch (Exception e) {
+      session.getFilterChain().fireExceptionCaught(e);
+    }
     if (!wasWatched && isInterestedInRead(session)) {
       Connection.of(session).inbound().unread().onReadsResumed(rounds);
     }
--- a/net/src/test/java/tamarindroute/net/ConnectionCloseTest.java
+++ b/net/src/test/java/tamarindroute/net/ConnectionCloseTest.java
@@ -31,6 +31,9 @@
   /** More than the socket buffers of both sides hold. */
   private static final int LARGE_RESPONSE_BYTES = 12 * 1024 * 1024;
 
+  /** Enough to fill the socket buffers of both sides. */
+  private static final int FILLING_MILLIS = 200;
+
   private final SingleThreadScheduler scheduler = new SingleThreadScheduler();
   private final SocketTransport transport =
       new SocketTransport(scheduler, new BufferPool(64L * 1024 * 1024), 1024);
@@ -100,6 +103,29 @@
     }
   }
 
+  /** Guards against a response that stops half-way when reads are suspended or resumed. */
+  @Test
+  void aResponseIsSentOnThoughReadsAreSuspendedMeanwhile() throws Exception {
+    CompletableFuture<Connection> responding = new CompletableFuture<>();
+    onBytes =
+        (connection, bytes) -> {
+          connection.write(new byte[LARGE_RESPONSE_BYTES]);
+          responding.complete(connection);
+        };
+    try (Socket client = client()) {
+      client.getOutputStream().write(1);
+      InputStream in = client.getInputStream();
+      assertThat(in.read()).isZero();
+      Connection connection = responding.get(5, TimeUnit.SECONDS);
+      // Both are applied while the client takes nothing and no more can be written.
+      TimeUnit.MILLISECONDS.sleep(FILLING_MILLIS);
+      scheduler.execute(connection::pause);
+      scheduler.execute(connection::resume);
+      TimeUnit.MILLISECONDS.sleep(FILLING_MILLIS);
+      assertThat(in.readNBytes(LARGE_RESPONSE_BYTES - 1)).hasSize(LARGE_RESPONSE_BYTES - 1);
+    }
+  }
+
   @Test
   void aClientThatNeverClosesIsCutOffSoon() throws Exception {
     onBytes = (connection, bytes) -> connection.close(CloseReason.CLOSED_LOCALLY, true);
