Pass a client's turn to be read on, whatever its read brings

Callers would see: on a busy gateway a request is not read until something else happens there, or for up to 3 s.

Cause: the next client got its turn only once the event loop had taken up what was read. A turn went to nobody where the read found the end of the input, or bytes that are discarded; and a connection whose bytes were discarded while it was queued kept its turn, with nothing to read, until its session ended.

Change: a turn ends in one place, ClientReadQueue.onTurnEnded, as soon as it is taken; a connection whose bytes are discarded leaves the queue. ReadTurn looks at its state before it sets it, for each read.

--- a/net/src/main/java/tamarindroute/net/ClientReadQueue.java
+++ b/net/src/main/java/tamarindroute/net/ClientReadQueue.java
@@ -23,7 +23,7 @@
   /** The bytes of these reads. */
   private final AtomicInteger waitingBytes = new AtomicInteger();
 
-  /** Connections that may be read next and were not yet. */
+  /** Connections that may be read next and were not yet; changed on the event loop only. */
   private final AtomicInteger grants = new AtomicInteger();
 
   /** Connections in the queue or on their way to it. */
@@ -42,15 +42,30 @@
     this.maxWaitingReads = maxWaitingReads;
   }
 
-  /** On any thread: whether it was this connection's turn; true only once for each turn. */
-  boolean takeGrant(Connection connection) {
+  /**
+   * On MINA's thread: whether it was this connection's turn; true only once for each turn. The turn
+   * is passed on even if the read brings nothing that the event loop would take up.
+   */
+  boolean takeTurn(Connection connection) {
     boolean granted = connection.inbound().readTurn().take();
     if (granted) {
-      grants.decrementAndGet();
+      scheduler.execute(this::onTurnEnded);
     }
     return granted;
   }
 
+  /** On MINA's thread: the connection needs no turn any more, since its bytes are discarded. */
+  void leave(Connection connection) {
+    if (connection.inbound().readTurn().cancel()) {
+      scheduler.execute(this::onTurnEnded);
+    }
+  }
+
+  private void onTurnEnded() {
+    grants.decrementAndGet();
+    grantNext();
+  }
+
   /**
    * On MINA's thread: whether the connection, which has bytes to read, is read out of turn since no
    * other waits. Otherwise its reads are suspended and it is queued.
--- a/net/src/main/java/tamarindroute/net/ReadAdmission.java
+++ b/net/src/main/java/tamarindroute/net/ReadAdmission.java
@@ -47,11 +47,11 @@
    */
   boolean admits(Connection connection, IoSession session, SelectRounds rounds) {
     connection.inbound().unread().onReadable(rounds);
-    boolean granted = clientReads.takeGrant(connection);
     if (connection.inputDiscarder().isDiscarding()) {
+      clientReads.leave(connection);
       return true;
     }
-    boolean admitted = admits(connection, session, granted);
+    boolean admitted = admits(connection, session, clientReads.takeTurn(connection));
     if (!admitted) {
       connection.inbound().unread().onReadDeferred();
     }
--- a/net/src/main/java/tamarindroute/net/ReadTurn.java
+++ b/net/src/main/java/tamarindroute/net/ReadTurn.java
@@ -32,11 +32,12 @@
 
   /** Whether the connection has its turn, which is used up thereby. */
   boolean take() {
-    return state.compareAndSet(State.GRANTED, State.NONE);
+    // Called for each read, and seldom with a turn.
+    return isGranted() && state.compareAndSet(State.GRANTED, State.NONE);
   }
 
   /** Ends the wait; returns whether the connection had its turn. */
   boolean cancel() {
-    return state.getAndSet(State.NONE) == State.GRANTED;
+    return state.get() != State.NONE && state.getAndSet(State.NONE) == State.GRANTED;
   }
 }
