--- a/net/src/main/java/tamarindroute/net/SelectorProcessor.java
+++ b/net/src/main/java/tamarindroute/net/SelectorProcessor.java
@@ -13,11 +13,11 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA's selector loop with five corrections: the interest in reads and writes changes on the
- * selector's thread only, a connection is read only if the transport admits it, the buffer of a
- * read that ends in a reset is freed, the output of a connection can be shut down alone, and a
- * connection can be ended provided that it has no unread bytes. Public with a public constructor
- * because MINA creates it by reflection.
+ * MINA's selector loop with six corrections: the interest in reads changes on the selector's thread
+ * only, and without that in writes; a connection is read only if the transport admits it, the
+ * buffer of a read that ends in a reset is freed, the output of a connection can be shut down
+ * alone, and a connection can be ended provided that it has no unread bytes. Public with a public
+ * constructor because MINA creates it by reflection.
  */
 public final class SelectorProcessor extends NioProcessor {
 
--- a/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
+++ b/router/src/test/java/tamarindroute/gateway/UnreadRequestTest.java
@@ -38,6 +38,15 @@
     return newClient;
   }
 
+  /** Drains while MINA's thread is held, and expects the first client's answer, then the end. */
+  private void assertAnsweredBeforeTheShutdownCloses() throws Exception {
+    drain();
+    awaitEventLoop();
+    scheduler.release();
+    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
+    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+  }
+
   /** Guards against a request lost while its connection waits in the queue of those to be read. */
   @Test
   void connectionThatWaitsToBeReadIsNotClosedForANewOne() throws Exception {
@@ -131,11 +140,7 @@
     connectAll();
     scheduler.holdSelector(lastClient());
     firstClient().call("1", BUDGET_MILLIS);
-    drain();
-    awaitEventLoop();
-    scheduler.release();
-    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
-    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+    assertAnsweredBeforeTheShutdownCloses();
   }
 
   /** Guards against a request lost at SIGTERM of which a part was read. */
@@ -143,11 +148,7 @@
   void requestWithAnUnnoticedRestIsAnsweredBeforeTheShutdownClosesItsConnection() throws Exception {
     connectAll();
     sendCallWithUnnoticedRest();
-    drain();
-    awaitEventLoop();
-    scheduler.release();
-    assertThat(firstClient().readFrame()).isEqualTo("1 NAK");
-    assertThat(firstClient().readFrame()).isEqualTo(WireConnection.END);
+    assertAnsweredBeforeTheShutdownCloses();
   }
 
   /** Guards against a request lost whose last bytes arrived in time and were not read in time. */
